--- /dev/null
+++ b/threadshift/adapter/host.py
@@ -0,0 +1,245 @@
+"""Instances of the decision module, each fed its own events and speaking for itself."""
+from __future__ import annotations
+
+import sys
+import traceback
+
+from threadshift.adapter.codec import Fields, Frame, Malformed, line, to_ms
+from threadshift.choice import Dispatcher
+from threadshift.interface import (
+    MS,
+    Copy,
+    Deployment,
+    Do,
+    Effect,
+    Listing,
+    NamespaceType,
+    Outcome,
+    Report,
+    State,
+    Step,
+    Tenant,
+)
+
+OUTCOMES = dict(enumerate((
+    Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT, Outcome.UNREACHABLE,
+    Outcome.RESET, Outcome.CANCELLED, Outcome.MOOT, Outcome.MISS)))
+STATES = {0: State.GONE, 1: State.READY, 2: State.DRAINING}
+EFFECTS = {"safe": Effect.REPEATABLE, "keyed": Effect.DEDUPLICATED, "unsafe": Effect.ONCE_ONLY}
+COPIES = {0: Copy.UNTOLD, 1: Copy.FOUND, 2: Copy.BEGAN, 3: Copy.WAITED, 4: Copy.LOAD_FAILED}
+FAILED_LIST = 3
+LONGEST_REMINDER = 70 * 60 * 1000 * MS
+LOG_WORDS = str.maketrans("\r\n", "  ")
+
+
+def deployment(start: Fields) -> Deployment:
+    """The settings of a START line in the project's terms."""
+    def lane(n: int) -> NamespaceType:
+        at = f"lanes.{n}."
+        return NamespaceType(
+            start.text(at + "name"), start.ns(at + "aim"), start.ns(at + "giveUp"),
+            start.number(at + "worth"), start.number(at + "lateValue", 0.0),
+            start.read(at + "effect", EFFECTS.__getitem__), start.text(at + "group", "all"),
+            start.ns(at + "memorySpan", 0), start.flag(at + "streaming", False))
+
+    def org(n: int) -> Tenant:
+        at = f"orgs.{n}."
+        return Tenant(start.text(at + "name"), start.number(at + "share", 0.0),
+                      start.number(at + "quotaPerS", 0.0))
+
+    return Deployment(
+        types=tuple(lane(n) for n in range(start.whole("lanes.count"))),
+        tenants=tuple(org(n) for n in range(start.whole("orgs.count", 0))),
+        front_ends=start.whole("peersTotal", 1),
+        zone=start.text("zone", ""),
+        tick=start.ns("tick", MS),
+        max_sends=start.whole("limits.maxAttempts", 1),
+        may_cancel=start.flag("limits.cancel", False),
+        may_probe=start.flag("limits.probes", False),
+        may_duplicate=start.flag("limits.mayDuplicate", False),
+        may_order=start.flag("familyInfo.placementCalls", False),
+        longest_advice=start.ns("limits.maxRetryAfter", 0) if start.flag("limits.retryAfter", False) else 0,
+        loads_on_miss=start.text("familyInfo.notLoaded", "load") == "load",
+        reports_in_answers=start.text("report.source", "off") == "inline",
+        idle_keep=start.ns("familyInfo.staysLoaded", 0),
+        load_window=start.ns("familyInfo.loadWindow", 0),
+        load_free=start.number("familyInfo.loadFree", 0.0),
+        load_ratio=start.number("familyInfo.loadRatio", 0.0),
+        drain_grace=start.ns("rules.drainGrace", 0),
+        cold_share=start.number("rules.coldShare", 1.0),
+        cold_time=start.ns("rules.cold", 0),
+        fall_multiple=start.number("rules.fallMultiple", 1.0),
+        fall_time=start.ns("rules.overloadFor", 0),
+    )
+
+
+def listing(row: Fields) -> Listing:
+    return Listing(row.text("worker"), row.read("mode", lambda text: STATES[int(text)]),
+                   row.text("rackZone", ""), row.whole("cluster", 0), row.ns("onlineSince", 0),
+                   row.number("powerHint", 1.0))
+
+
+def outcome(event: Fields) -> Outcome:
+    return event.read("outcome", lambda text: OUTCOMES[int(text)])
+
+
+def report(event: Fields) -> Report | None:
+    told = event.numbers("usage")
+    if not told:
+        return None
+    return Report(told.get("utilization"), told.get("outstanding"), told.get("backlog"), told.get("x1"))
+
+
+class Instance:
+    """One front end: its dispatcher, the handles it holds and its one pending reminder."""
+
+    def __init__(self, number: int, start: Fields, now: int):
+        self.number = number
+        self.dispatcher = Dispatcher(start.whole("entropy"), deployment(start), now)
+        self.acts: dict[str, object] = {}      # owed an answer, or with sends still out
+        self.handle = 0
+        self.reminder: int | None = None
+
+    def event(self, event: Fields, now: int, tables: dict[int, list[Listing]]) -> list[Step]:
+        """One event as the call it stands for."""
+        word = event.word
+        if word == "REQUEST":
+            return self.request(event, now)
+        if word == "VERDICT":
+            return self.verdict(event, now)
+        if word == "ELAPSED":
+            if event.whole("handle") != self.handle:
+                return []
+            self.reminder = None
+            return self.dispatcher.tick(now)
+        if word == "VANISHED":
+            act = self.acts.get(event.text("id"))
+            return self.closed(act, act.left(now)) if act else []
+        if word == "STANDS":
+            return self.dispatcher.held(
+                now, event.text("worker"), event.text("fn"), outcome(event),
+                event.whole("instances", 0), event.ns("waitTime", 0))
+        if word == "STATUS_BACK":
+            return self.dispatcher.probed(
+                now, event.text("worker"), outcome(event),
+                event.ns("waitTime", 0), report(event))
+        if word == "HEADERS":
+            act = self.acts.get(event.text("id"))
+            return act.streaming(now, event.whole("go")) if act else []
+        if word == "MEMBERS":
+            scope = event.whole("scope")
+            if scope == FAILED_LIST:
+                return []
+            number = event.whole("list")
+            if number not in tables:
+                raise Malformed(f"line {event.line}: MEMBERS names list {number}, which no TABLE has set")
+            return self.dispatcher.roster(now, tables[number], full=scope != 0)
+        return []
+
+    def request(self, event: Fields, now: int) -> list[Step]:
+        name = event.text("id")
+        act = self.dispatcher.take(
+            now, name, event.text("type"), event.text("fn"), event.ns("timeLeft"),
+            tenant=event.text("realm", ""), work=event.ns("predicted", 0), lanes=event.whole("atOnce", 1),
+            load_time=event.ns("loadTimeMs", 0), again=event.flag("againByClient", False))
+        self.acts[name] = act
+        return self.closed(act, act.start(now))
+
+    def verdict(self, event: Fields, now: int) -> list[Step]:
+        name = event.text("id")
+        act = self.acts.get(name)
+        if act is None:
+            return []
+        info = event.whole("info", 0)
+        return self.closed(act, act.returned(
+            now, event.whole("go"), outcome(event), event.ns("waitTime", 0),
+            copy=COPIES.get(info % 8, Copy.UNTOLD), company=info // 8, final=event.flag("final", False),
+            report=report(event)))
+
+    def closed(self, act, steps: list[Step]) -> list[Step]:
+        """The steps, with the handle let go once nothing more can come for it."""
+        if act.over:
+            self.acts.pop(act.ivk, None)
+        return steps
+
+    def encode(self, step: Step) -> str:
+        i, act = self.number, step.act
+        if step.do in (Do.REJECT, Do.ABORT):
+            self.closed(act, [])
+        if step.do is Do.SEND:
+            return line("DISPATCH", i=i, id=act.ivk, allowFor=to_ms(step.amount) if step.amount else None,
+                        worker=step.worker)
+        if step.do is Do.CANCEL:
+            return line("ABANDON", i=i, id=act.ivk, go=step.amount)
+        if step.do is Do.REJECT:
+            return line("OVERLOAD_REPLY", i=i, id=act.ivk,
+                        stayAway=to_ms(step.amount) if step.amount else None)
+        if step.do is Do.ABORT:
+            return line("DROP_REQUEST", i=i, id=act.ivk)
+        if step.do is Do.HOLD:
+            return line("MOUNT", i=i, worker=step.worker, fn=step.fn, instances=step.amount)
+        if step.do is Do.UNLOAD:
+            return line("PUT_AWAY", i=i, worker=step.worker, fn=step.fn)
+        if step.do is Do.PROBE:
+            return line("PING", i=i, worker=step.worker)
+        return line("SAY_LOG", i=i, words=step.text.translate(LOG_WORDS))
+
+    def settle(self, now: int) -> list[str]:
+        """After a batch: keep the one reminder that is wanted."""
+        due = self.dispatcher.due()
+        if due is None or (self.reminder is not None and self.reminder <= max(due, now)):
+            return []
+        self.handle += 1
+        self.reminder = max(due, now)
+        return [line("REMIND", i=self.number, handle=self.handle,
+                     **{"in": to_ms(min(self.reminder - now, LONGEST_REMINDER))})]
+
+
+class Host:
+    """All instances of this process. They share the numbered lists of workers and nothing else."""
+
+    def __init__(self) -> None:
+        self.tables: dict[int, list[Listing]] = {}
+        self.instances: dict[int, Instance] = {}
+
+    def reply(self, frame: Frame) -> list[str]:
+        out: list[str] = []
+        touched: dict[int, Instance] = {}
+        rows: list[Listing] = []
+        wanted = 0
+        for event in frame.lines:
+            if wanted or event.word == "ROW":
+                if event.word != "ROW" or not wanted:
+                    raise Malformed(f"line {event.line}: {event.word} where {wanted} more ROW were announced")
+                rows.append(listing(event))
+                wanted -= 1
+                continue
+            if event.word == "TABLE":
+                rows = []
+                wanted = event.whole("lines")
+                self.tables[event.whole("list")] = rows
+                continue
+            number = event.whole("i")
+            try:
+                if event.word == "START":
+                    touched[number] = self.instances[number] = Instance(number, event, frame.now)
+                elif event.word == "KILL":
+                    self.instances.pop(number, None)
+                    touched.pop(number, None)
+                elif number in self.instances:
+                    instance = touched[number] = self.instances[number]
+                    out.extend(map(instance.encode, instance.event(event, frame.now, self.tables)))
+            except Malformed:
+                raise
+            except Exception as problem:
+                traceback.print_exc(file=sys.stderr)
+                words = f"{type(problem).__name__}: {problem}".translate(LOG_WORDS)
+                out.append(line("BAIL_OUT", i=number, words=words))
+                self.instances.pop(number, None)
+                touched.pop(number, None)
+        if wanted:
+            raise Malformed(f"frame {frame.number}: a TABLE lacks {wanted} ROW")
+        for instance in touched.values():
+            out.extend(instance.settle(frame.now))
+        out.append(line("EOR", frame=frame.number))
+        return out
--- /dev/null
+++ b/threadshift/choice.py
@@ -0,0 +1,560 @@
+"""Decides, for one front end, where each activation runs, when to send again and when to give up.
+
+Make a Dispatcher(seed, deployment, now) and call roster() with each list of workers. take() gives an
+Activation; call its start(), then returned() at each send's end and left() if the client quits. held() and
+probed() bring answers to load orders and probes; tick() is wanted when due() has come. Each returns the Steps
+to carry out, in order. Interface: interface.py. The mechanism and each departure from it: docs/design.md.
+"""
+from __future__ import annotations
+
+import bisect
+import hashlib
+import heapq
+import random
+from collections import deque
+from itertools import count
+
+from threadshift.interface import (
+    MS,
+    SECOND,
+    Copy,
+    Deployment,
+    Do,
+    Effect,
+    Listing,
+    NamespaceType,
+    Outcome,
+    Report,
+    State,
+    Step,
+)
+
+POINTS = 150               # ring points a worker; the design's figure, spreads homes within some 8%
+EPSILON = 0.25             # room above the mean in flight; middle of the design's 0.1 to 0.5
+SKETCH_WIDTH = 4096        # count-min cells a row; wide enough that some hundred functions hardly collide
+SKETCH_DEPTH = 4           # count-min rows; the write-up's figure
+SKETCH_WINDOW = 10 * SECOND    # after this the sketch resets; the design's figure
+HOT_SHARE = 0.05           # of recent calls; the design's threshold
+HOT_LEAST = 100            # calls below which nothing is called hot: five calls would be 5% of less
+WIDE_SHARE = 0.10          # of recent calls; twice the threshold earns the second successor
+ROUND = 50 * MS            # period of the health round; a small part of any target latency in sight
+TYPICAL_START = 0.25       # share of the target latency taken as usual until answers are seen
+LOAD_START = SECOND        # usual load time until one is seen or told
+PATIENCE = 4               # times the expected latency before a send is overdue; past 98% of exponential work
+LEAST_PATIENCE = 0.4       # share of the target latency; leaves a second send time to meet it
+SLOW = 2.5                 # times its peers' latency for like work at which a worker is left alone
+STRIKES = 2                # failures in a row that suspend a worker; one may be chance
+SUSPEND = 500 * MS         # first suspension; about the time two more failures would take to notice
+SUSPEND_MOST = 8 * SECOND  # longest suspension; restarts seen take longer, cuts end sooner
+BUDGET_SHARE = 0.1         # further sends earned by each completed activation; bounds re-send storms
+BUDGET_MOST = 10.0         # further sends that may be saved up
+FULL_PAUSE = 100 * MS      # a worker that answered full is passed over so long, some service times
+COLD_SAFETY = 0.8          # share of the stated cold budget that is spent; the rest is for chance
+RATE_MEMORY = 10 * SECOND  # memory of the rate of completed work
+LEAST_LEFT = 20 * MS       # time left below which a further send is pointless: a round trip and some work
+HOLD_PAUSE = 2 * SECOND    # after a failed load order for a function
+HOLDS_A_WORKER = 2         # our load orders out at one worker; workers run a few loads at a time
+CHOKING = 2.0              # times its cap at which a warm worker's queue costs more than a load elsewhere
+FORGET = 60 * SECOND       # a function unasked for so long is forgotten, to bound memory
+
+NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT, Outcome.MISS)
+FAILED = (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR)      # the first two: connections
+
+
+def point(text: str) -> int:
+    return int.from_bytes(hashlib.md5(text.encode()).digest(), "big")
+
+
+class Kind:
+    """A namespace type as decisions use it, with what its activations have been seen to take."""
+
+    def __init__(self, told: NamespaceType):
+        self.target, self.effect, self.group, self.span = (
+            told.target_latency, told.effect, told.group, told.memory_span)
+        self.typical = TYPICAL_START * told.target_latency      # ns from send to answer, copy standing
+        self.work = 0.0                                         # mean cost hint
+
+
+class Function:
+    """A function, its place on the ring and its turn in a round-robin."""
+
+    def __init__(self, name: str, lanes: int, load: int):
+        self.name, self.lanes, self.load = name, max(1, lanes), load
+        digest = hashlib.md5(name.encode()).digest()
+        self.at = int.from_bytes(digest, "big")
+        self.cells = [int.from_bytes(digest[4 * row:4 * row + 4], "big") % SKETCH_WIDTH
+                      for row in range(SKETCH_DEPTH)]
+        self.order: list[Worker] = []
+        self.version = -1
+        self.turn = 0
+        self.asked = 0
+        self.pause = 0           # no load order before this
+
+
+class Send:
+    __slots__ = ("act", "at", "number", "out", "warm", "worker")
+
+    def __init__(self, act: Activation, number: int, worker: Worker, at: int, warm: bool):
+        self.act, self.number, self.worker, self.at, self.warm, self.out = act, number, worker, at, warm, True
+
+
+class Worker:
+    """What one front end knows of a worker."""
+
+    def __init__(self, name: str):
+        self.name, self.zone, self.cell, self.size, self.since, self.ready = name, "", 0, 1.0, 0, False
+        self.points = sorted(point(f"{name}#{i}") for i in range(POINTS))
+        self.sends: dict[Send, None] = {}       # ours in flight, oldest first
+        self.calls: dict[str, int] = {}         # the same, by function
+        self.warm: dict[str, int] = {}          # function: a copy is believed to stand until then
+        self.loads: dict[str, int] = {}         # function: our load order out since
+        self.heard = 0                          # last answer from the worker itself
+        self.strikes = self.suspensions = 0
+        self.until = 0                          # suspended until then
+        self.dead = False                       # suspended for broken or refused connections
+        self.trial = False                      # readmitted on trial: one send at a time
+        self.slow = 1.0                         # its latency over what is usual for like work
+        self.full = 0                           # answered full, passed over until then
+        self.spent: deque[tuple[int, float]] = deque()      # work sent lately, while cold
+
+
+class Activation:
+    """One call taken; the caller's handle to it."""
+
+    def __init__(self, home: Dispatcher, ivk: str, kind: Kind, fn: Function, tenant: str, now: int, due: int,
+                 work: int, again: bool):
+        self.home, self.ivk, self.kind, self.fn, self.tenant = home, ivk, kind, fn, tenant
+        self.taken, self.due, self.work, self.again = now, due, work, again
+        self.sends: list[Send] = []
+        self.out = 0                            # sends without an outcome yet
+        self.risky: list[Send] = []             # sends that may have run
+        self.answered = self.begun = False
+        self.wanted: Worker | None = None       # waiting for our load order there
+
+    @property
+    def over(self) -> bool:
+        return self.answered and not self.out
+
+    def start(self, now: int) -> list[Step]:
+        return self.home.steps(self.home.go_on, self, now)
+
+    def returned(self, now: int, number: int, outcome: Outcome, waited: int, *, copy: Copy = Copy.UNTOLD,
+                 company: int = 0, final: bool = False, report: Report | None = None) -> list[Step]:
+        return self.home.steps(self.home.judge, self.sends[number], now, outcome, waited, copy, final)
+
+    def streaming(self, now: int, number: int) -> list[Step]:
+        self.begun = True
+        return []
+
+    def left(self, now: int) -> list[Step]:
+        return self.home.steps(self.home.close, self, None)
+
+    def expire(self, now: int) -> None:
+        if not self.begun:
+            self.home.give_up(self, now)
+
+
+class Dispatcher:
+    """One front end's decisions."""
+
+    def __init__(self, seed: int, told: Deployment, now: int):
+        self.chance = random.Random(seed).random
+        self.kinds = {each.name: Kind(each) for each in told.types}
+        self.margin = 2 * told.tick
+        self.max_sends, self.may_cancel, self.may_twice = told.max_sends, told.may_cancel, told.may_duplicate
+        self.advice, self.keep, self.on_miss_loads = told.longest_advice, told.idle_keep, told.loads_on_miss
+        self.load_window, self.load_free, self.load_ratio = (
+            (told.load_window, told.load_free, told.load_ratio) if told.may_order else (1, -1.0, 0.0))
+        self.cold_share, self.cold_time, self.fall_time = told.cold_share, told.cold_time, told.fall_time
+        self.cold_factor = COLD_SAFETY * told.fall_multiple * told.fall_time / SECOND
+        self.workers: dict[str, Worker] = {}
+        self.ring: list[tuple[int, Worker]] = []
+        self.fleet: list[Worker] = []           # workers on the ring
+        self.version = self.most_workers = 0
+        self.functions: dict[str, Function] = {}
+        self.sketch = [[0] * SKETCH_WIDTH for _ in range(SKETCH_DEPTH)]
+        self.before = self.sketch               # the window before: a reset must not make all look hot
+        self.seen = self.seen_before = 0
+        self.window_ends = now + SKETCH_WINDOW
+        self.in_flight = 0
+        self.budget = BUDGET_MOST / 2
+        self.done, self.done_at = 0.0, now      # completed work, fading
+        self.took: deque[int] = deque()         # times of activations, within the load window
+        self.ordered: deque[int] = deque()      # times of load orders, within it
+        self.orders = 0                         # load orders out
+        self.parked: dict[tuple[str, str], list[Activation]] = {}
+        self.load_usual = float(LOAD_START)
+        self.next_round = now + ROUND
+        self.heap: list[tuple] = []
+        self.serial = count()
+        self.out: list[Step] = []
+
+    def steps(self, decide, *args) -> list[Step]:
+        decide(*args)
+        out, self.out = self.out, []
+        return out
+
+    def due(self) -> int:
+        return min(self.next_round, self.heap[0][0]) if self.heap else self.next_round
+
+    def tick(self, now: int) -> list[Step]:
+        while self.heap and self.heap[0][0] <= now:
+            heapq.heappop(self.heap)[2](now)
+        if self.next_round <= now:
+            self.next_round = now + ROUND
+            self.round(now)
+        out, self.out = self.out, []
+        return out
+
+    # The fleet
+
+    def roster(self, now: int, listings: list[Listing], full: bool) -> list[Step]:
+        named = set()
+        for told in listings:
+            named.add(told.worker)
+            worker = self.workers.get(told.worker)
+            if worker is None:
+                worker = self.workers[told.worker] = Worker(told.worker)
+            worker.zone, worker.cell, worker.size = told.zone, told.cell, max(told.size, 0.01)
+            worker.ready = told.state is State.READY
+            if told.since > worker.since:
+                # A new process: what we knew of copies, speed and failures was the old one's.
+                worker.since = told.since
+                worker.warm.clear()
+                worker.slow, worker.strikes, worker.suspensions, worker.until = 1.0, 0, 0, 0
+                worker.dead = worker.trial = False
+        for worker in self.workers.values():
+            if full and worker.name not in named:
+                worker.ready = False
+        fleet = [worker for worker in self.workers.values() if worker.ready]
+        if fleet != self.fleet:
+            self.fleet = fleet
+            self.ring = sorted(((at, worker) for worker in fleet for at in worker.points),
+                               key=lambda each: each[0])
+            self.version += 1
+            self.most_workers = max(self.most_workers, len(fleet))
+        return []
+
+    def order(self, fn: Function) -> list[Worker]:
+        """Distinct workers clockwise from the function's hash."""
+        if fn.version != self.version:
+            start = bisect.bisect(self.ring, fn.at, key=lambda each: each[0])
+            fn.order = list(dict.fromkeys(
+                self.ring[(start + i) % len(self.ring)][1] for i in range(len(self.ring))))
+            fn.version = self.version
+        return fn.order
+
+    # Taking, placing
+
+    def take(self, now: int, ivk: str, type_name: str, fn_name: str, left: int, *, tenant: str = "",
+             work: int = 0, lanes: int = 1, load_time: int = 0, again: bool = False) -> Activation:
+        fn = self.functions.get(fn_name)
+        if fn is None:
+            fn = self.functions[fn_name] = Function(fn_name, lanes, load_time)
+        fn.asked = now
+        if now >= self.window_ends:
+            self.before, self.seen_before = self.sketch, self.seen
+            self.sketch, self.seen = [[0] * SKETCH_WIDTH for _ in range(SKETCH_DEPTH)], 0
+            self.window_ends = now + SKETCH_WINDOW
+        self.seen += 1
+        for row, cell in zip(self.sketch, fn.cells, strict=True):
+            row[cell] += 1
+        self.took.append(now)
+        kind = self.kinds[type_name]
+        if work:
+            kind.work += 0.02 * (work - kind.work) if kind.work else work
+        act = Activation(self, ivk, kind, fn, tenant, now, now + max(0, left - self.margin), work, again)
+        heapq.heappush(self.heap, (act.due, next(self.serial), act.expire))
+        return act
+
+    def share(self, fn: Function) -> float:
+        """Of recent calls, by the sketch; nothing on too few."""
+        total = self.seen + self.seen_before
+        if total < HOT_LEAST:
+            return 0.0
+        return min(now[cell] + old[cell] for now, old, cell in zip(
+            self.sketch, self.before if self.seen_before else self.sketch, fn.cells, strict=True)) / (
+            total if self.seen_before else 2 * total)
+
+    def expected(self, act: Activation) -> float:
+        """Usual latency of such a call where a copy stands."""
+        hint = act.work / act.kind.work if act.work and act.kind.work else 1.0
+        return act.kind.typical * (0.5 + 0.5 * hint)
+
+    def cap(self, worker: Worker, now: int) -> float:
+        cap = max(1.0, self.in_flight / max(1, len(self.fleet))) * (1 + EPSILON)
+        cap *= min(1.0, 1.5 / max(worker.slow, 1.5))
+        age = now - worker.since
+        if worker.since and age < self.cold_time:
+            cap = 1.0 + max(0.0, cap - 1.0) * age / self.cold_time
+        return cap
+
+    def cold_room(self, worker: Worker, act: Activation, now: int) -> bool:
+        """Whether our share of what a just started worker can take allows for one more.
+
+        Assumes the least capacity the rule states, and for a warm worker no more than what completed here."""
+        age = now - worker.since
+        if not worker.since or age >= self.cold_time:
+            return True
+        while worker.spent and worker.spent[0][0] <= now - self.fall_time:
+            worker.spent.popleft()
+        if not worker.spent:
+            return True
+        able = self.cold_share + (1 - self.cold_share) * age / self.cold_time
+        rate = self.done / (RATE_MEMORY / SECOND) / max(1, self.most_workers)
+        return sum(work for _, work in worker.spent) + self.units(act) <= self.cold_factor * able * rate
+
+    def units(self, act: Activation) -> float:
+        return act.kind.work / SECOND or 1.0
+
+    def fit(self, worker: Worker, act: Activation, now: int) -> bool:
+        if worker.until > now or worker.full > now or not self.cold_room(worker, act, now):
+            return False
+        if worker.trial:
+            return not worker.sends and act.kind.effect is not Effect.ONCE_ONLY
+        return True
+
+    def room(self, worker: Worker, fn: Function, now: int) -> bool:
+        return len(worker.sends) < self.cap(worker, now)
+
+    def place(self, act: Activation, now: int) -> Worker | None:
+        """Home, or the walk's first stop with room; see docs/design.md for where warmth bends the walk."""
+        fn = act.fn
+        order = self.order(fn)
+        fit = [worker for worker in order if self.fit(worker, act, now)]
+        tried = {send.worker.name for send in act.sends}
+        stops = [worker for worker in fit if worker.name not in tried] or fit
+        if not stops:
+            # Everything looks bad: a shared cause, so suspensions are set aside; cold workers stay guarded.
+            return next((worker for worker in order if self.cold_room(worker, act, now)), None)
+        home = stops[0]
+        share = self.share(fn)
+        if share > HOT_SHARE:
+            group = stops[:2 if share < WIDE_SHARE else 3]
+            fn.turn += 1
+            shift = fn.turn % len(group)
+            stops = group[shift:] + group[:shift] + stops[len(group):]
+        first = stops[0]
+        warm = [worker for worker in stops if worker.warm.get(fn.name, 0) > now]
+        if not warm:
+            coming = [worker for worker in stops if fn.name in worker.loads or worker.calls.get(fn.name)]
+            if coming:
+                return coming[0]
+            return next((worker for worker in stops if self.room(worker, fn, now)), home)
+        fresh = home.since and now - home.since < self.cold_time
+        for worker in warm:
+            if self.room(worker, fn, now) or (
+                    worker is home and not fresh and worker.calls.get(fn.name, 0) < fn.lanes):
+                chosen = worker
+                break
+        else:
+            chosen = min(warm, key=lambda worker: len(worker.sends) / self.cap(worker, now))
+            if len(chosen.sends) > CHOKING * self.cap(chosen, now):
+                chosen = next((worker for worker in stops if self.room(worker, fn, now)), chosen)
+            first = next((worker for worker in stops if worker not in warm), first)
+        if first not in warm and chosen is not first:
+            self.hold(first, fn, now)
+        return chosen
+
+    def hold(self, worker: Worker, fn: Function, now: int) -> bool:
+        """Every load order passes here: rationed by rule, paced by us, one a function at a time."""
+        while self.ordered and self.ordered[0] <= now - self.load_window:
+            self.ordered.popleft()
+        while self.took and self.took[0] <= now - self.load_window:
+            self.took.popleft()
+        if not worker.ready or fn.pause > now or fn.name in worker.loads or len(worker.loads) >= HOLDS_A_WORKER:
+            return False
+        if self.load_window and len(self.ordered) + 1 > self.load_free + self.load_ratio * len(self.took) or (
+                self.orders >= max(2, len(self.fleet) // 4)):
+            return False
+        worker.loads[fn.name] = now
+        fn.pause = now + SUSPEND
+        self.orders += 1
+        self.ordered.append(now)
+        self.out.append(Step(Do.HOLD, worker=worker.name, fn=fn.name, amount=1))
+        return True
+
+    def held(self, now: int, name: str, fn_name: str, outcome: Outcome, copies: int,
+             waited: int) -> list[Step]:
+        worker = self.workers[name]
+        if worker.loads.pop(fn_name, None) is not None:
+            self.orders -= 1
+        if outcome is Outcome.COMPLETED and copies:
+            worker.warm[fn_name] = now + self.keep
+        elif fn_name in self.functions:
+            self.functions[fn_name].pause = now + HOLD_PAUSE
+        for act in self.parked.pop((name, fn_name), ()):
+            if not act.answered:
+                act.wanted = worker if outcome is Outcome.COMPLETED else None
+                self.go_on(act, now)
+        return self.steps(lambda: None)
+
+    def probed(self, now: int, name: str, outcome: Outcome, waited: int, report: Report | None) -> list[Step]:
+        return []
+
+    # Sending
+
+    def may_send(self, act: Activation, worker: Worker, now: int) -> bool:
+        """Rules 1 to 3 for one send; true only where nothing can happen twice that must not."""
+        if act.answered or act.begun or not worker.ready or act.due <= now or (
+                len(act.sends) >= self.max_sends):
+            return False
+        if act.out and not (self.may_twice and act.kind.effect is not Effect.ONCE_ONLY):
+            return False
+        maybe = act.risky + [send for send in act.sends if send.out]
+        if not maybe or act.kind.effect is Effect.REPEATABLE:
+            return True
+        kind = act.kind
+        return kind.effect is Effect.DEDUPLICATED and all(
+            (kind.group == "all" or getattr(send.worker, kind.group) == getattr(worker, kind.group))
+            and now + self.margin < send.at + kind.span for send in maybe)
+
+    def may_reject(self, act: Activation) -> bool:
+        kind = act.kind
+        return kind.effect is Effect.REPEATABLE or not (act.risky or act.out) or (
+            kind.effect is Effect.DEDUPLICATED and kind.group == "all")
+
+    def send(self, act: Activation, worker: Worker, now: int) -> bool:
+        """Every send passes here."""
+        if not self.may_send(act, worker, now):
+            return False
+        send = Send(act, len(act.sends), worker, now, worker.warm.get(act.fn.name, 0) > now)
+        act.sends.append(send)
+        act.out += 1
+        worker.sends[send] = None
+        worker.calls[act.fn.name] = worker.calls.get(act.fn.name, 0) + 1
+        self.in_flight += 1
+        if worker.since and now - worker.since < self.cold_time:
+            worker.spent.append((now, self.units(act)))
+        self.out.append(Step(Do.SEND, act, worker.name))
+        return True
+
+    def go_on(self, act: Activation, now: int) -> None:
+        """Place and send, or give up at once."""
+        if act.answered:
+            return
+        wanted, act.wanted = act.wanted, None
+        worker = wanted if wanted is not None and wanted.ready else self.place(act, now)
+        if worker is None or not self.send(act, worker, now):
+            self.give_up(act, now)
+
+    def give_up(self, act: Activation, now: int) -> None:
+        if not act.answered:
+            self.close(act, Do.REJECT if self.may_reject(act) else Do.ABORT)
+
+    def close(self, act: Activation, how: Do | None) -> None:
+        """The one place that gives a final answer; None where the client has it or wants none."""
+        if act.answered:
+            return
+        act.answered = True
+        if how is not None:
+            self.out.append(Step(how, act, amount=self.advice if how is Do.REJECT else 0))
+        if self.may_cancel:
+            self.out.extend(Step(Do.CANCEL, act, send.worker.name, amount=send.number)
+                            for send in act.sends if send.out and not act.begun)
+
+    # What came of it
+
+    def judge(self, send: Send, now: int, outcome: Outcome, waited: int, copy: Copy, final: bool) -> None:
+        if not send.out:
+            return
+        act, worker, fn = send.act, send.worker, send.act.fn
+        send.out = False
+        act.out -= 1
+        self.in_flight -= 1
+        worker.sends.pop(send, None)
+        worker.calls[fn.name] -= 1
+        if not worker.calls[fn.name]:
+            del worker.calls[fn.name]
+        if outcome not in NEVER_RAN:
+            act.risky.append(send)
+        self.learn(send, now, outcome, waited, copy)
+        if final:
+            self.close(act, None)
+        if act.answered or act.out or act.begun:
+            return
+        if outcome is Outcome.MISS and not self.on_miss_loads and copy is not Copy.LOAD_FAILED and (
+                self.hold(worker, fn, now) or fn.name in worker.loads):
+            self.parked.setdefault((worker.name, fn.name), []).append(act)
+            return
+        if self.budget < 1 or act.due - now < LEAST_LEFT:
+            self.give_up(act, now)
+            return
+        self.budget -= 1
+        self.go_on(act, now)
+
+    def learn(self, send: Send, now: int, outcome: Outcome, waited: int, copy: Copy) -> None:
+        worker, act, fn = send.worker, send.act, send.act.fn
+        if outcome is Outcome.COMPLETED:
+            worker.heard = now
+            worker.strikes = worker.suspensions = 0
+            if worker.trial:
+                worker.trial = False
+            worker.warm[fn.name] = now + self.keep
+            self.budget = min(BUDGET_MOST, self.budget + BUDGET_SHARE)
+            self.fade(now)
+            self.done += self.units(act)
+            if copy is Copy.FOUND or (copy is Copy.UNTOLD and send.warm):
+                ratio = waited / max(1.0, self.expected(act))
+                act.kind.typical *= 1 + 0.03 * (min(ratio, 4.0) - 1)
+                worker.slow += 0.15 * (min(ratio, 10.0) - worker.slow)
+            elif copy is Copy.BEGAN:
+                self.load_usual += 0.1 * (waited - self.load_usual)
+                # Gone where we believed it stood: a release or a squeeze. Older beliefs on it are no better.
+                for other in self.fleet if send.warm else ():
+                    if other is not worker and other.warm.get(fn.name, 0) < send.at + self.keep:
+                        other.warm.pop(fn.name, None)
+        elif outcome is Outcome.FULL:
+            worker.heard = now
+            worker.full = now + FULL_PAUSE
+        elif outcome is Outcome.MISS:
+            worker.heard = now
+            worker.warm.pop(fn.name, None)
+        elif copy is not Copy.LOAD_FAILED and outcome in FAILED:
+            self.strike(worker, now, outcome in FAILED[:2])
+
+    def fade(self, now: int) -> None:
+        self.done *= max(0.0, 1 - (now - self.done_at) / RATE_MEMORY)
+        self.done_at = now
+
+    def strike(self, worker: Worker, now: int, dead: bool) -> None:
+        """Fast failures and silence look idle to the cap: suspend, longer each time, then one trial."""
+        worker.strikes += 1
+        if worker.until > now or (worker.strikes < STRIKES and not worker.trial):
+            return
+        length = min(SUSPEND_MOST, SUSPEND << min(worker.suspensions, 8))
+        worker.until = now + int(length * (0.75 + 0.5 * self.chance()))
+        worker.suspensions += 1
+        worker.trial = True
+        if dead:
+            worker.dead = True
+            worker.warm.clear()
+
+    def patience(self, send: Send) -> float:
+        wait = max(PATIENCE * self.expected(send.act), LEAST_PATIENCE * send.act.kind.target)
+        return wait if send.warm else wait + 2 * (send.act.fn.load or self.load_usual)
+
+    def round(self, now: int) -> None:
+        """Looks for workers that answer nothing and moves what may be moved away from them."""
+        for worker in self.workers.values():
+            late = [send for send in worker.sends if now - send.at > self.patience(send)]
+            if late and worker.heard < late[0].at and worker.until <= now:
+                worker.strikes = STRIKES
+                self.strike(worker, now, False)
+            for send in late if worker.until > now or not worker.ready else ():
+                self.move(send, now)
+        if self.functions and now % FORGET < ROUND:
+            self.functions = {name: fn for name, fn in self.functions.items() if now - fn.asked < FORGET}
+
+    def move(self, send: Send, now: int) -> None:
+        """Off a suspended worker: cancel, so that the outcome brings the next send, or send a second."""
+        act = send.act
+        if act.answered or act.begun or act.out > 1 or act.kind.effect is not Effect.REPEATABLE or (
+                self.budget < 1 or act.due - now < LEAST_LEFT or len(act.sends) >= self.max_sends):
+            return
+        if self.may_twice:
+            worker = self.place(act, now)
+            if worker is not None and self.send(act, worker, now):
+                self.budget -= 1
+        elif self.may_cancel:
+            self.out.append(Step(Do.CANCEL, act, send.worker.name, amount=send.number))
--- /dev/null
+++ b/threadshift/interface.py
@@ -0,0 +1,144 @@
+"""The plain types and words that callers and the decision module share.
+
+Nothing here decides. Times are whole nanoseconds; ids are whatever the caller uses for them.
+"""
+from __future__ import annotations
+
+from enum import Enum
+from typing import Any, NamedTuple
+
+MS = 1_000_000
+SECOND = 1_000 * MS
+
+
+class Effect(Enum):
+    """What running an activation a second time does."""
+
+    REPEATABLE = "repeatable"
+    DEDUPLICATED = "deduplicated"
+    ONCE_ONLY = "once-only"
+
+
+class Outcome(Enum):
+    """How a send, a load order or a probe ended."""
+
+    COMPLETED = "completed"
+    ERROR = "error"              # the worker answered with an error; it may have run
+    FULL = "full"                # turned away unseen
+    TIMEOUT = "timeout"          # nothing heard in time; it may have run
+    UNREACHABLE = "unreachable"  # no connection; it never ran
+    RESET = "reset"              # the connection broke under it; it may have run
+    CANCELLED = "cancelled"      # we gave up waiting; it may have run
+    MOOT = "moot"                # never left the front end
+    MISS = "miss"                # no copy there, and no load under way that succeeded
+
+
+class Copy(Enum):
+    """What an answer says about the copy that served it."""
+
+    UNTOLD = "untold"
+    FOUND = "found"
+    BEGAN = "began"
+    WAITED = "waited"
+    LOAD_FAILED = "load failed"
+
+
+class State(Enum):
+    """What the roster says of a worker."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Do(Enum):
+    """What a front end is asked to carry out."""
+
+    SEND = "send"          # act to worker, to be given up after `amount` ns (0: its own time left)
+    CANCEL = "cancel"      # give up waiting for send number `amount` of act
+    REJECT = "reject"      # final answer; the client may come back after `amount` ns (0: no advice)
+    ABORT = "abort"        # final answer
+    HOLD = "hold"          # load order: `amount` copies of fn at worker
+    UNLOAD = "unload"      # idle copies of fn at worker
+    PROBE = "probe"        # ask worker for its load report
+    NOTE = "note"          # a line for the operators' log, in `text`
+
+
+class Step(NamedTuple):
+    """One thing to be done now; which fields count depends on `do`."""
+
+    do: Do
+    act: Any = None
+    worker: str = ""
+    fn: str = ""
+    amount: int = 0
+    text: str = ""
+
+
+class NamespaceType(NamedTuple):
+    """A kind of activation, as read at start."""
+
+    name: str
+    target_latency: int
+    action_timeout: int
+    utility: float
+    late_utility: float
+    effect: Effect
+    group: str = "all"           # who drops repeats of a deduplicated activation: all, zone or cell
+    memory_span: int = 0         # for how long they remember it
+    streaming: bool = False
+
+
+class Tenant(NamedTuple):
+    """Who shares the fleet, and the rate within its share over all front ends."""
+
+    name: str
+    share: float
+    per_second: float
+
+
+class Deployment(NamedTuple):
+    """What a front end is told once, when it starts."""
+
+    types: tuple[NamespaceType, ...]
+    tenants: tuple[Tenant, ...] = ()
+    front_ends: int = 1
+    zone: str = ""
+    tick: int = MS
+    max_sends: int = 1
+    may_cancel: bool = False
+    may_probe: bool = False
+    may_duplicate: bool = False
+    may_order: bool = False
+    longest_advice: int = 0      # the longest time to come back that clients heed; 0: none may be named
+    loads_on_miss: bool = True
+    reports_in_answers: bool = False
+    idle_keep: int = 0           # an idle copy stays at least this long
+    load_window: int = 0         # load orders: within this window (0: no limit) ...
+    load_free: float = 0.0       # ... at most so many ...
+    load_ratio: float = 0.0      # ... plus this share of the activations taken
+    drain_grace: int = 0
+    cold_share: float = 1.0      # a worker starts with this share of its capacity or more
+    cold_time: int = 0           # and is warm after this at the latest
+    fall_multiple: float = 1.0   # sent more than this multiple of its present capacity ...
+    fall_time: int = SECOND      # ... over this time, a cold worker falls over
+
+
+class Listing(NamedTuple):
+    """One line of the roster."""
+
+    worker: str
+    state: State
+    zone: str = ""
+    cell: int = 0
+    since: int = 0               # when it last started; 0: long past
+    size: float = 1.0            # to be set against other workers' sizes
+
+
+class Report(NamedTuple):
+    """A worker's own word on its load; None where it does not say."""
+
+    busy: float | None = None            # share of its cores at work
+    in_flight: float | None = None       # activations held
+    queued: float | None = None          # activations waiting
+    loading: float | None = None         # loads under way or waiting
