--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -58,7 +58,7 @@
 FORGET = 60 * SECOND       # a function unasked for so long is forgotten, to bound memory
 
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT, Outcome.MISS)
-FAILED = (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR)      # the first two: connections
+FAILED = (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR)    # first two: connections
 
 
 def point(text: str) -> int:
@@ -362,7 +362,8 @@
             self.ordered.popleft()
         while self.took and self.took[0] <= now - self.load_window:
             self.took.popleft()
-        if not worker.ready or fn.pause > now or fn.name in worker.loads or len(worker.loads) >= HOLDS_A_WORKER:
+        if not worker.ready or fn.pause > now or fn.name in worker.loads or (
+                len(worker.loads) >= HOLDS_A_WORKER):
             return False
         if self.load_window and len(self.ordered) + 1 > self.load_free + self.load_ratio * len(self.took) or (
                 self.orders >= max(2, len(self.fleet) // 4)):
