Limit each worker's sends by what its answers show it bears; caps by told size

Change: an own limit a worker, cut when its answers with a copy standing take over 0.45 of the target latency or it answers full, recovering slowly. Guards against slow, small, overloaded workers alike; harm: after a chance run of heavy work a worker gets less for a second or two.

--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -42,7 +42,12 @@
 LOAD_START = SECOND        # usual load time until one is seen or told
 PATIENCE = 4               # times the expected latency before a send is overdue; past 98% of exponential work
 LEAST_PATIENCE = 0.4       # share of the target latency; leaves a second send time to meet it
-SLOW = 2.5                 # times its peers' latency for like work at which a worker is left alone
+EASE = 0.45                # share of the target latency that a worker's answers may take on average; with an
+                           # exponential spread a tenth is then late
+FIRST_LIMIT = 4.0          # sends in flight at a worker before it has shown what it bears
+CUT = 0.85                 # what one cut leaves of a limit; gentle, as answers vary with the work itself
+CUT_PAUSE = 200 * MS       # between two cuts, so that one queue is answered once
+GROW = 1.0                 # sends a second by which each limit recovers
 STRIKES = 2                # failures in a row that suspend a worker; one may be chance
 SUSPEND = 500 * MS         # first suspension; about the time two more failures would take to notice
 SUSPEND_MOST = 8 * SECOND  # longest suspension; restarts seen take longer, cuts end sooner
@@ -54,7 +59,6 @@
 LEAST_LEFT = 20 * MS       # time left below which a further send is pointless: a round trip and some work
 HOLD_PAUSE = 2 * SECOND    # after a failed load order for a function
 HOLDS_A_WORKER = 2         # our load orders out at one worker; workers run a few loads at a time
-CHOKING = 2.0              # times its cap at which a warm worker's queue costs more than a load elsewhere
 FORGET = 60 * SECOND       # a function unasked for so long is forgotten, to bound memory
 
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT, Outcome.MISS)
@@ -113,7 +117,9 @@
         self.until = 0                          # suspended until then
         self.dead = False                       # suspended for broken or refused connections
         self.trial = False                      # readmitted on trial: one send at a time
-        self.slow = 1.0                         # its latency over what is usual for like work
+        self.pace = 0.0                         # its usual latency with a copy standing, over the target
+        self.limit = FIRST_LIMIT                # sends in flight that it bears
+        self.cut = 0                            # when the limit was last cut; 0: it has not met one
         self.full = 0                           # answered full, passed over until then
         self.spent: deque[tuple[int, float]] = deque()      # work sent lately, while cold
 
@@ -221,7 +227,8 @@
                 # A new process: what we knew of copies, speed and failures was the old one's.
                 worker.since = told.since
                 worker.warm.clear()
-                worker.slow, worker.strikes, worker.suspensions, worker.until = 1.0, 0, 0, 0
+                worker.pace, worker.strikes, worker.suspensions, worker.until = 0.0, 0, 0, 0
+                worker.limit, worker.cut = FIRST_LIMIT, 0
                 worker.dead = worker.trial = False
         for worker in self.workers.values():
             if full and worker.name not in named:
@@ -232,6 +239,7 @@
             self.ring = sorted(((at, worker) for worker in fleet for at in worker.points),
                                key=lambda each: each[0])
             self.version += 1
+            self.mean_size = sum(worker.size for worker in fleet) / max(1, len(fleet))
             self.most_workers = max(self.most_workers, len(fleet))
         return []
 
@@ -282,8 +290,7 @@
         return act.kind.typical * (0.5 + 0.5 * hint)
 
     def cap(self, worker: Worker, now: int) -> float:
-        cap = max(1.0, self.in_flight / max(1, len(self.fleet))) * (1 + EPSILON)
-        cap *= min(1.0, 1.5 / max(worker.slow, 1.5))
+        cap = max(1.0, self.in_flight / len(self.fleet)) * (1 + EPSILON) * worker.size / self.mean_size
         age = now - worker.since
         if worker.since and age < self.cold_time:
             cap = 1.0 + max(0.0, cap - 1.0) * age / self.cold_time
@@ -314,8 +321,8 @@
             return not worker.sends and act.kind.effect is not Effect.ONCE_ONLY
         return True
 
-    def room(self, worker: Worker, fn: Function, now: int) -> bool:
-        return len(worker.sends) < self.cap(worker, now)
+    def room(self, worker: Worker, now: int) -> bool:
+        return len(worker.sends) < min(self.cap(worker, now), worker.limit)
 
     def place(self, act: Activation, now: int) -> Worker | None:
         """Home, or the walk's first stop with room; see docs/design.md for where warmth bends the walk."""
@@ -340,17 +347,17 @@
             coming = [worker for worker in stops if fn.name in worker.loads or worker.calls.get(fn.name)]
             if coming:
                 return coming[0]
-            return next((worker for worker in stops if self.room(worker, fn, now)), home)
+            return next((worker for worker in stops if self.room(worker, now)), home)
         fresh = home.since and now - home.since < self.cold_time
         for worker in warm:
-            if self.room(worker, fn, now) or (
-                    worker is home and not fresh and worker.calls.get(fn.name, 0) < fn.lanes):
+            if self.room(worker, now) or (
+                    worker is home and not fresh and worker.calls.get(fn.name, 0) < min(fn.lanes, worker.limit)):
                 chosen = worker
                 break
         else:
-            chosen = min(warm, key=lambda worker: len(worker.sends) / self.cap(worker, now))
-            if len(chosen.sends) > CHOKING * self.cap(chosen, now):
-                chosen = next((worker for worker in stops if self.room(worker, fn, now)), chosen)
+            chosen = min(warm, key=lambda worker: len(worker.sends) / worker.limit)
+            if len(chosen.sends) >= chosen.limit:
+                chosen = next((worker for worker in stops if self.room(worker, now)), None)
             first = next((worker for worker in stops if worker not in warm), first)
         if first not in warm and chosen is not first:
             self.hold(first, fn, now)
@@ -497,8 +504,12 @@
             self.done += self.units(act)
             if copy is Copy.FOUND or (copy is Copy.UNTOLD and send.warm):
                 ratio = waited / max(1.0, self.expected(act))
+                worker.pace += 0.15 * (act.kind.typical * ratio / act.kind.target - worker.pace)
                 act.kind.typical *= 1 + 0.03 * (min(ratio, 4.0) - 1)
-                worker.slow += 0.15 * (min(ratio, 10.0) - worker.slow)
+                if worker.pace > EASE:
+                    self.ease(worker, now)
+                elif len(worker.sends) + 1 >= worker.limit:
+                    worker.limit += 1 / worker.limit if worker.cut else 1
             elif copy is Copy.BEGAN:
                 self.load_usual += 0.1 * (waited - self.load_usual)
                 # Gone where we believed it stood: a release or a squeeze. Older beliefs on it are no better.
@@ -508,12 +519,19 @@
         elif outcome is Outcome.FULL:
             worker.heard = now
             worker.full = now + FULL_PAUSE
+            self.ease(worker, now)
         elif outcome is Outcome.MISS:
             worker.heard = now
             worker.warm.pop(fn.name, None)
         elif copy is not Copy.LOAD_FAILED and outcome in FAILED:
             self.strike(worker, now, outcome in FAILED[:2])
 
+    def ease(self, worker: Worker, now: int) -> None:
+        """Too much for it, whether small, slow, full or pressed by others: it gets fewer at a time."""
+        if now - worker.cut >= CUT_PAUSE:
+            worker.limit = max(1.0, CUT * min(worker.limit, len(worker.sends) + 1))
+            worker.cut = now
+
     def fade(self, now: int) -> None:
         self.done *= max(0.0, 1 - (now - self.done_at) / RATE_MEMORY)
         self.done_at = now
@@ -538,6 +556,7 @@
     def round(self, now: int) -> None:
         """Looks for workers that answer nothing and moves what may be moved away from them."""
         for worker in self.workers.values():
+            worker.limit += GROW * ROUND / SECOND if worker.cut else 0
             late = [send for send in worker.sends if now - send.at > self.patience(send)]
             if late and worker.heard < late[0].at and worker.until <= now:
                 worker.strikes = STRIKES
