Walk past choking homes; load orders only where there is room

Cause: with many front ends a home chokes on what others send it while our own count stays low; walks after a full answer started load after load. Change: a worker whose answers are slow has no room; full answers count as slow ones; never-ran sends go on without re-send budget unless they would start a load.

--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -15,19 +15,7 @@
 from itertools import count
 
 from threadshift.interface import (
-    MS,
-    SECOND,
-    Copy,
-    Deployment,
-    Do,
-    Effect,
-    Listing,
-    NamespaceType,
-    Outcome,
-    Report,
-    State,
-    Step,
-)
+    MS, SECOND, Copy, Deployment, Do, Effect, Listing, NamespaceType, Outcome, Report, State, Step)
 
 POINTS = 150               # ring points a worker; the design's figure, spreads homes within some 8%
 EPSILON = 0.25             # room above the mean in flight; middle of the design's 0.1 to 0.5
@@ -44,6 +32,8 @@
 LEAST_PATIENCE = 0.4       # share of the target latency; leaves a second send time to meet it
 EASE = 0.45                # share of the target latency that a worker's answers may take on average; with an
                            # exponential spread a tenth is then late
+FRESH = 0.15               # weight of the newest answer in a worker's pace
+PACE_FADE = 0.95           # what a round without an answer leaves of it: untried must not stay shunned
 FIRST_LIMIT = 4.0          # sends in flight at a worker before it has shown what it bears
 CUT = 0.85                 # what one cut leaves of a limit; gentle, as answers vary with the work itself
 CUT_PAUSE = 200 * MS       # between two cuts, so that one queue is answered once
@@ -322,7 +312,8 @@
         return True
 
     def room(self, worker: Worker, now: int) -> bool:
-        return len(worker.sends) < min(self.cap(worker, now), worker.limit)
+        """Under its cap, and not choking on what others send it, which our own count cannot show."""
+        return len(worker.sends) < min(self.cap(worker, now), worker.limit) and worker.pace <= EASE
 
     def place(self, act: Activation, now: int) -> Worker | None:
         """Home, or the walk's first stop with room; see docs/design.md for where warmth bends the walk."""
@@ -350,16 +341,16 @@
             return next((worker for worker in stops if self.room(worker, now)), home)
         fresh = home.since and now - home.since < self.cold_time
         for worker in warm:
-            if self.room(worker, now) or (
-                    worker is home and not fresh and worker.calls.get(fn.name, 0) < min(fn.lanes, worker.limit)):
+            if self.room(worker, now) or (worker is home and not fresh and worker.pace <= EASE and
+                                          worker.calls.get(fn.name, 0) < min(fn.lanes, worker.limit)):
                 chosen = worker
                 break
         else:
             chosen = min(warm, key=lambda worker: len(worker.sends) / worker.limit)
             if len(chosen.sends) >= chosen.limit:
                 chosen = next((worker for worker in stops if self.room(worker, now)), None)
-            first = next((worker for worker in stops if worker not in warm), first)
-        if first not in warm and chosen is not first:
+            first = next((worker for worker in stops if worker not in warm and self.room(worker, now)), first)
+        if first not in warm and chosen is not first and self.room(first, now):
             self.hold(first, fn, now)
         return chosen
 
@@ -443,6 +434,11 @@
             return
         wanted, act.wanted = act.wanted, None
         worker = wanted if wanted is not None and wanted.ready else self.place(act, now)
+        if worker is not None and act.sends and worker.warm.get(act.fn.name, 0) <= now:
+            # Turned away once, an activation must not start load after load on its walk: that feeds a storm.
+            self.budget -= 1
+            if self.budget < 0:
+                worker = None
         if worker is None or not self.send(act, worker, now):
             self.give_up(act, now)
 
@@ -485,10 +481,10 @@
                 self.hold(worker, fn, now) or fn.name in worker.loads):
             self.parked.setdefault((worker.name, fn.name), []).append(act)
             return
-        if self.budget < 1 or act.due - now < LEAST_LEFT:
+        if act.due - now < LEAST_LEFT or (outcome not in NEVER_RAN and self.budget < 1):
             self.give_up(act, now)
             return
-        self.budget -= 1
+        self.budget -= outcome not in NEVER_RAN
         self.go_on(act, now)
 
     def learn(self, send: Send, now: int, outcome: Outcome, waited: int, copy: Copy) -> None:
@@ -504,7 +500,7 @@
             self.done += self.units(act)
             if copy is Copy.FOUND or (copy is Copy.UNTOLD and send.warm):
                 ratio = waited / max(1.0, self.expected(act))
-                worker.pace += 0.15 * (act.kind.typical * ratio / act.kind.target - worker.pace)
+                worker.pace += FRESH * (act.kind.typical * ratio / act.kind.target - worker.pace)
                 act.kind.typical *= 1 + 0.03 * (min(ratio, 4.0) - 1)
                 if worker.pace > EASE:
                     self.ease(worker, now)
@@ -519,6 +515,7 @@
         elif outcome is Outcome.FULL:
             worker.heard = now
             worker.full = now + FULL_PAUSE
+            worker.pace += FRESH * (1.0 - worker.pace)
             self.ease(worker, now)
         elif outcome is Outcome.MISS:
             worker.heard = now
@@ -557,6 +554,8 @@
         """Looks for workers that answer nothing and moves what may be moved away from them."""
         for worker in self.workers.values():
             worker.limit += GROW * ROUND / SECOND if worker.cut else 0
+            if now - worker.heard > 2 * ROUND:
+                worker.pace *= PACE_FADE
             late = [send for send in worker.sends if now - send.at > self.patience(send)]
             if late and worker.heard < late[0].at and worker.until <= now:
                 worker.strikes = STRIKES
