Under pressure, refuse repetitions and over-share calls first

Change: such calls get 0.6 of a worker's room and pace, and no load of their own where copies stand. Also guards against retry storms after any refusal; harm: a client that repeats in quiet times near the limit is refused again.

--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -47,6 +47,8 @@
 COLD_SAFETY = 0.8          # share of the stated cold budget that is spent; the rest is for chance
 RATE_MEMORY = 10 * SECOND  # memory of the rate of completed work
 LEAST_LEFT = 20 * MS       # time left below which a further send is pointless: a round trip and some work
+SKEW = 1.2                 # our part of a tenant's share over an equal one: halls are not equally busy
+SPARE = 0.6                # of a worker's room and pace is open to what is worth least
 HOLD_PAUSE = 2 * SECOND    # after a failed load order for a function
 HOLDS_A_WORKER = 2         # our load orders out at one worker; workers run a few loads at a time
 FORGET = 60 * SECOND       # a function unasked for so long is forgotten, to bound memory
@@ -117,15 +119,16 @@
 class Activation:
     """One call taken; the caller's handle to it."""
 
-    def __init__(self, home: Dispatcher, ivk: str, kind: Kind, fn: Function, tenant: str, now: int, due: int,
+    def __init__(self, home: Dispatcher, ivk: str, kind: Kind, fn: Function, due: int,
                  work: int, again: bool):
-        self.home, self.ivk, self.kind, self.fn, self.tenant = home, ivk, kind, fn, tenant
-        self.taken, self.due, self.work, self.again = now, due, work, again
+        self.home, self.ivk, self.kind, self.fn = home, ivk, kind, fn
+        self.due, self.work = due, work
         self.sends: list[Send] = []
         self.out = 0                            # sends without an outcome yet
         self.risky: list[Send] = []             # sends that may have run
         self.answered = self.begun = False
         self.wanted: Worker | None = None       # waiting for our load order there
+        self.spare = again                      # worth least: a client's repetition, or beyond a share
 
     @property
     def over(self) -> bool:
@@ -163,6 +166,8 @@
             (told.load_window, told.load_free, told.load_ratio) if told.may_order else (1, -1.0, 0.0))
         self.cold_share, self.cold_time, self.fall_time = told.cold_share, told.cold_time, told.fall_time
         self.cold_factor = COLD_SAFETY * told.fall_multiple * told.fall_time / SECOND
+        self.shares = {each.name: SKEW * each.per_second / told.front_ends for each in told.tenants}
+        self.saved: dict[str, tuple[float, int]] = {}
         self.workers: dict[str, Worker] = {}
         self.ring: list[tuple[int, Worker]] = []
         self.fleet: list[Worker] = []           # workers on the ring
@@ -261,10 +266,19 @@
         kind = self.kinds[type_name]
         if work:
             kind.work += 0.02 * (work - kind.work) if kind.work else work
-        act = Activation(self, ivk, kind, fn, tenant, now, now + max(0, left - self.margin), work, again)
+        act = Activation(self, ivk, kind, fn, now + max(0, left - self.margin), work,
+                         again or self.beyond_share(tenant, now))
         heapq.heappush(self.heap, (act.due, next(self.serial), act.expire))
         return act
 
+    def beyond_share(self, tenant: str, now: int) -> bool:
+        """Whether this call is more than our part of what its tenant may ask, a second's worth saved up."""
+        rate = self.shares.get(tenant, 0.0)
+        saved, at = self.saved.get(tenant, (rate, now))
+        saved = min(rate, saved + rate * (now - at) / SECOND) - 1
+        self.saved[tenant] = (max(saved, 0.0), now)
+        return rate > 0 and saved < 0
+
     def share(self, fn: Function) -> float:
         """Of recent calls, by the sketch; nothing on too few."""
         total = self.seen + self.seen_before
@@ -341,11 +355,16 @@
             return next((worker for worker in stops if self.room(worker, now)), home)
         fresh = home.since and now - home.since < self.cold_time
         for worker in warm:
-            if self.room(worker, now) or (worker is home and not fresh and worker.pace <= EASE and
+            if act.spare:
+                if len(worker.sends) < SPARE * worker.limit and worker.pace <= SPARE * EASE:
+                    return worker
+            elif self.room(worker, now) or (worker is home and not fresh and worker.pace <= EASE and
                                           worker.calls.get(fn.name, 0) < min(fn.lanes, worker.limit)):
                 chosen = worker
                 break
         else:
+            if act.spare:
+                return None
             chosen = min(warm, key=lambda worker: len(worker.sends) / worker.limit)
             if len(chosen.sends) >= chosen.limit:
                 chosen = next((worker for worker in stops if self.room(worker, now)), None)
