Let calls wait here for one load instead of starting copy after copy

Change: per function, our part of its lanes goes to the loading copy, the rest waits here, two released for each answer. Also guards the store after any mass move; harm: a load that fails late costs the waiting ones their time.

--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -49,6 +49,7 @@
 LEAST_LEFT = 20 * MS       # time left below which a further send is pointless: a round trip and some work
 SKEW = 1.2                 # our part of a tenant's share over an equal one: halls are not equally busy
 SPARE = 0.6                # of a worker's room and pace is open to what is worth least
+PARKED = 8                 # activations a lane that may wait here for a load; more would be late in any case
 HOLD_PAUSE = 2 * SECOND    # after a failed load order for a function
 HOLDS_A_WORKER = 2         # our load orders out at one worker; workers run a few loads at a time
 FORGET = 60 * SECOND       # a function unasked for so long is forgotten, to bound memory
@@ -84,6 +85,7 @@
         self.version = -1
         self.turn = 0
         self.asked = 0
+        self.parked: deque[Activation] = deque()    # waiting here for a load under way
         self.pause = 0           # no load order before this
 
 
@@ -127,7 +129,6 @@
         self.out = 0                            # sends without an outcome yet
         self.risky: list[Send] = []             # sends that may have run
         self.answered = self.begun = False
-        self.wanted: Worker | None = None       # waiting for our load order there
         self.spare = again                      # worth least: a client's repetition, or beyond a share
 
     @property
@@ -183,7 +184,7 @@
         self.took: deque[int] = deque()         # times of activations, within the load window
         self.ordered: deque[int] = deque()      # times of load orders, within it
         self.orders = 0                         # load orders out
-        self.parked: dict[tuple[str, str], list[Activation]] = {}
+        self.front_ends = told.front_ends
         self.load_usual = float(LOAD_START)
         self.next_round = now + ROUND
         self.heap: list[tuple] = []
@@ -349,9 +350,14 @@
         first = stops[0]
         warm = [worker for worker in stops if worker.warm.get(fn.name, 0) > now]
         if not warm:
-            coming = [worker for worker in stops if fn.name in worker.loads or worker.calls.get(fn.name)]
-            if coming:
-                return coming[0]
+            coming = next((worker for worker in stops if fn.name in worker.loads or fn.name in worker.calls), None)
+            if coming is not None:
+                # More calls waiting there than lanes would make the worker start copy after copy.
+                if coming.calls.get(fn.name, 0) < max(1, fn.lanes // self.front_ends):
+                    return coming
+                if len(fn.parked) < PARKED * fn.lanes and not act.spare:
+                    fn.parked.append(act)
+                return None
             return next((worker for worker in stops if self.room(worker, now)), home)
         fresh = home.since and now - home.since < self.cold_time
         for worker in warm:
@@ -401,11 +407,7 @@
             worker.warm[fn_name] = now + self.keep
         elif fn_name in self.functions:
             self.functions[fn_name].pause = now + HOLD_PAUSE
-        for act in self.parked.pop((name, fn_name), ()):
-            if not act.answered:
-                act.wanted = worker if outcome is Outcome.COMPLETED else None
-                self.go_on(act, now)
-        return self.steps(lambda: None)
+        return self.steps(self.wake, self.functions.get(fn_name), now)
 
     def probed(self, now: int, name: str, outcome: Outcome, waited: int, report: Report | None) -> list[Step]:
         return []
@@ -451,8 +453,9 @@
         """Place and send, or give up at once."""
         if act.answered:
             return
-        wanted, act.wanted = act.wanted, None
-        worker = wanted if wanted is not None and wanted.ready else self.place(act, now)
+        worker = self.place(act, now)
+        if act.fn.parked and act.fn.parked[-1] is act:
+            return
         if worker is not None and act.sends and worker.warm.get(act.fn.name, 0) <= now:
             # Turned away once, an activation must not start load after load on its walk: that feeds a storm.
             self.budget -= 1
@@ -461,6 +464,11 @@
         if worker is None or not self.send(act, worker, now):
             self.give_up(act, now)
 
+    def wake(self, fn: Function | None, now: int) -> None:
+        """Two of those parked go on for each answer, so that a fresh copy is not flooded at once."""
+        for _ in range(min(2, len(fn.parked)) if fn else 0):
+            self.go_on(fn.parked.popleft(), now)
+
     def give_up(self, act: Activation, now: int) -> None:
         if not act.answered:
             self.close(act, Do.REJECT if self.may_reject(act) else Do.ABORT)
@@ -492,13 +500,14 @@
         if outcome not in NEVER_RAN:
             act.risky.append(send)
         self.learn(send, now, outcome, waited, copy)
+        self.wake(fn, now)
         if final:
             self.close(act, None)
         if act.answered or act.out or act.begun:
             return
         if outcome is Outcome.MISS and not self.on_miss_loads and copy is not Copy.LOAD_FAILED and (
                 self.hold(worker, fn, now) or fn.name in worker.loads):
-            self.parked.setdefault((worker.name, fn.name), []).append(act)
+            fn.parked.append(act)
             return
         if act.due - now < LEAST_LEFT or (outcome not in NEVER_RAN and self.budget < 1):
             self.give_up(act, now)
@@ -581,8 +590,11 @@
                 self.strike(worker, now, False)
             for send in late if worker.until > now or not worker.ready else ():
                 self.move(send, now)
-        if self.functions and now % FORGET < ROUND:
-            self.functions = {name: fn for name, fn in self.functions.items() if now - fn.asked < FORGET}
+        for fn in list(self.functions.values()):
+            if fn.parked and not any(fn.name in worker.loads or fn.name in worker.calls for worker in self.fleet):
+                self.wake(fn, now)
+            if now - fn.asked > FORGET:
+                del self.functions[fn.name]
 
     def move(self, send: Send, now: int) -> None:
         """Off a suspended worker: cancel, so that the outcome brings the next send, or send a second."""
