--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -15,7 +15,7 @@
 from itertools import count
 
 from threadshift.interface import (
-    MS, SECOND, Copy, Deployment, Do, Effect, Listing, NamespaceType, Outcome, Report, State, Step)
+    MS, SECOND, Activation, Copy, Deployment, Do, Effect, Listing, NamespaceType, Outcome, Report, Send, State, Step)
 
 POINTS = 150               # ring points a worker; the design's figure, spreads homes within some 8%
 EPSILON = 0.25             # room above the mean in flight; middle of the design's 0.1 to 0.5
@@ -30,8 +30,7 @@
 LOAD_START = SECOND        # usual load time until one is seen or told
 PATIENCE = 4               # times the expected latency before a send is overdue; past 98% of exponential work
 LEAST_PATIENCE = 0.4       # share of the target latency; leaves a second send time to meet it
-EASE = 0.45                # share of the target latency that a worker's answers may take on average; with an
-                           # exponential spread a tenth is then late
+EASE = 0.45                # share of the target latency that answers may take on average; a tenth is then late
 FRESH = 0.15               # weight of the newest answer in a worker's pace
 PACE_FADE = 0.95           # what a round without an answer leaves of it: untried must not stay shunned
 FIRST_LIMIT = 4.0          # sends in flight at a worker before it has shown what it bears
@@ -66,8 +65,8 @@
     """A namespace type as decisions use it, with what its activations have been seen to take."""
 
     def __init__(self, told: NamespaceType):
-        self.target, self.effect, self.group, self.span = (
-            told.target_latency, told.effect, told.group, told.memory_span)
+        self.target, self.effect = told.target_latency, told.effect
+        self.group, self.span = told.group, told.memory_span
         self.typical = TYPICAL_START * told.target_latency      # ns from send to answer, copy standing
         self.work = 0.0                                         # mean cost hint
 
@@ -77,23 +76,12 @@
 
     def __init__(self, name: str, lanes: int, load: int):
         self.name, self.lanes, self.load = name, max(1, lanes), load
-        digest = hashlib.md5(name.encode()).digest()
-        self.at = int.from_bytes(digest, "big")
-        self.cells = [int.from_bytes(digest[4 * row:4 * row + 4], "big") % SKETCH_WIDTH
-                      for row in range(SKETCH_DEPTH)]
+        self.at = point(name)
+        self.cells = [(self.at >> 32 * row) % SKETCH_WIDTH for row in range(SKETCH_DEPTH)]
         self.order: list[Worker] = []
-        self.version = -1
-        self.turn = 0
-        self.asked = 0
+        self.version, self.turn, self.asked = -1, 0, 0
         self.parked: deque[Activation] = deque()    # waiting here for a load under way
-        self.pause = 0           # no load order before this
-
-
-class Send:
-    __slots__ = ("act", "at", "number", "out", "warm", "worker")
-
-    def __init__(self, act: Activation, number: int, worker: Worker, at: int, warm: bool):
-        self.act, self.number, self.worker, self.at, self.warm, self.out = act, number, worker, at, warm, True
+        self.pause = 0                              # no load order before this
 
 
 class Worker:
@@ -106,52 +94,20 @@
         self.calls: dict[str, int] = {}         # the same, by function
         self.warm: dict[str, int] = {}          # function: a copy is believed to stand until then
         self.loads: dict[str, int] = {}         # function: our load order out since
-        self.heard = 0                          # last answer from the worker itself
-        self.strikes = self.suspensions = 0
-        self.until = 0                          # suspended until then
-        self.dead = False                       # suspended for broken or refused connections
-        self.trial = False                      # readmitted on trial: one send at a time
-        self.pace = 0.0                         # its usual latency with a copy standing, over the target
-        self.limit = FIRST_LIMIT                # sends in flight that it bears
-        self.cut = 0                            # when the limit was last cut; 0: it has not met one
-        self.full = 0                           # answered full, passed over until then
         self.spent: deque[tuple[int, float]] = deque()      # work sent lately, while cold
+        self.heard = self.full = 0              # its last answer; answered full, passed over until then
+        self.restarted()
 
+    def restarted(self) -> None:
+        """Back to a blank page: what we knew of copies, pace and failures was another process's."""
+        self.warm.clear()
+        self.strikes = self.suspensions = self.until = 0    # failures in a row; suspended until then
+        self.trial = False                      # readmitted on trial: one send at a time
+        self.pace = 0.0                         # its usual latency with a copy standing, over the target
+        self.limit, self.cut = FIRST_LIMIT, 0   # sends in flight that it bears; last cut, 0 before any
 
-class Activation:
-    """One call taken; the caller's handle to it."""
-
-    def __init__(self, home: Dispatcher, ivk: str, kind: Kind, fn: Function, due: int,
-                 work: int, again: bool):
-        self.home, self.ivk, self.kind, self.fn = home, ivk, kind, fn
-        self.due, self.work = due, work
-        self.sends: list[Send] = []
-        self.out = 0                            # sends without an outcome yet
-        self.risky: list[Send] = []             # sends that may have run
-        self.answered = self.begun = False
-        self.spare = again                      # worth least: a client's repetition, or beyond a share
-
-    @property
-    def over(self) -> bool:
-        return self.answered and not self.out
-
-    def start(self, now: int) -> list[Step]:
-        return self.home.steps(self.home.go_on, self, now)
-
-    def returned(self, now: int, number: int, outcome: Outcome, waited: int, *, copy: Copy = Copy.UNTOLD,
-                 company: int = 0, final: bool = False, report: Report | None = None) -> list[Step]:
-        return self.home.steps(self.home.judge, self.sends[number], now, outcome, waited, copy, final)
-
-    def streaming(self, now: int, number: int) -> list[Step]:
-        self.begun = True
-        return []
-
-    def left(self, now: int) -> list[Step]:
-        return self.home.steps(self.home.close, self, None)
-
-    def expire(self, now: int) -> None:
-        if not self.begun:
-            self.home.give_up(self, now)
+    def loading(self, fn: Function) -> bool:
+        return fn.name in self.loads or fn.name in self.calls
 
 
 class Dispatcher:
@@ -205,8 +161,7 @@
         if self.next_round <= now:
             self.next_round = now + ROUND
             self.round(now)
-        out, self.out = self.out, []
-        return out
+        return self.steps(lambda: None)
 
     # The fleet
 
@@ -220,12 +175,8 @@
             worker.zone, worker.cell, worker.size = told.zone, told.cell, max(told.size, 0.01)
             worker.ready = told.state is State.READY
             if told.since > worker.since:
-                # A new process: what we knew of copies, speed and failures was the old one's.
                 worker.since = told.since
-                worker.warm.clear()
-                worker.pace, worker.strikes, worker.suspensions, worker.until = 0.0, 0, 0, 0
-                worker.limit, worker.cut = FIRST_LIMIT, 0
-                worker.dead = worker.trial = False
+                worker.restarted()
         for worker in self.workers.values():
             if full and worker.name not in named:
                 worker.ready = False
@@ -335,8 +286,8 @@
         fn = act.fn
         order = self.order(fn)
         fit = [worker for worker in order if self.fit(worker, act, now)]
-        tried = {send.worker.name for send in act.sends}
-        stops = [worker for worker in fit if worker.name not in tried] or fit
+        tried = [send.worker for send in act.sends]
+        stops = [worker for worker in fit if worker not in tried] or fit
         if not stops:
             # Everything looks bad: a shared cause, so suspensions are set aside; cold workers stay guarded.
             return next((worker for worker in order if self.cold_room(worker, act, now)), None)
@@ -350,7 +301,7 @@
         first = stops[0]
         warm = [worker for worker in stops if worker.warm.get(fn.name, 0) > now]
         if not warm:
-            coming = next((worker for worker in stops if fn.name in worker.loads or fn.name in worker.calls), None)
+            coming = next((worker for worker in stops if worker.loading(fn)), None)
             if coming is not None:
                 # More calls waiting there than lanes would make the worker start copy after copy.
                 if coming.calls.get(fn.name, 0) < max(1, fn.lanes // self.front_ends):
@@ -486,7 +437,8 @@
 
     # What came of it
 
-    def judge(self, send: Send, now: int, outcome: Outcome, waited: int, copy: Copy, final: bool) -> None:
+    def judge(self, send: Send, now: int, outcome: Outcome, waited: int, copy: Copy, final: bool,
+              company: int, report: Report | None) -> None:
         if not send.out:
             return
         act, worker, fn = send.act, send.worker, send.act.fn
@@ -520,12 +472,11 @@
         if outcome is Outcome.COMPLETED:
             worker.heard = now
             worker.strikes = worker.suspensions = 0
-            if worker.trial:
-                worker.trial = False
+            worker.trial = False
             worker.warm[fn.name] = now + self.keep
             self.budget = min(BUDGET_MOST, self.budget + BUDGET_SHARE)
-            self.fade(now)
-            self.done += self.units(act)
+            self.done *= max(0.0, 1 - (now - self.done_at) / RATE_MEMORY)
+            self.done, self.done_at = self.done + self.units(act), now
             if copy is Copy.FOUND or (copy is Copy.UNTOLD and send.warm):
                 ratio = waited / max(1.0, self.expected(act))
                 worker.pace += FRESH * (act.kind.typical * ratio / act.kind.target - worker.pace)
@@ -557,10 +508,6 @@
             worker.limit = max(1.0, CUT * min(worker.limit, len(worker.sends) + 1))
             worker.cut = now
 
-    def fade(self, now: int) -> None:
-        self.done *= max(0.0, 1 - (now - self.done_at) / RATE_MEMORY)
-        self.done_at = now
-
     def strike(self, worker: Worker, now: int, dead: bool) -> None:
         """Fast failures and silence look idle to the cap: suspend, longer each time, then one trial."""
         worker.strikes += 1
@@ -571,7 +518,6 @@
         worker.suspensions += 1
         worker.trial = True
         if dead:
-            worker.dead = True
             worker.warm.clear()
 
     def patience(self, send: Send) -> float:
@@ -591,7 +537,7 @@
             for send in late if worker.until > now or not worker.ready else ():
                 self.move(send, now)
         for fn in list(self.functions.values()):
-            if fn.parked and not any(fn.name in worker.loads or fn.name in worker.calls for worker in self.fleet):
+            if fn.parked and not any(worker.loading(fn) for worker in self.fleet):
                 self.wake(fn, now)
             if now - fn.asked > FORGET:
                 del self.functions[fn.name]
--- a/threadshift/interface.py
+++ b/threadshift/interface.py
@@ -4,6 +4,7 @@
 """
 from __future__ import annotations
 
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, NamedTuple
 
@@ -142,3 +143,57 @@
     in_flight: float | None = None       # activations held
     queued: float | None = None          # activations waiting
     loading: float | None = None         # loads under way or waiting
+
+
+@dataclass(slots=True, eq=False)
+class Send:
+    """One try of an activation on a worker."""
+
+    act: Activation
+    number: int
+    worker: Any
+    at: int
+    warm: bool                   # a copy was believed to stand
+    out: bool = True             # no outcome yet
+
+
+@dataclass(slots=True, eq=False)
+class Activation:
+    """One call taken: the caller's handle to it. All that it is told goes to the dispatcher that made it."""
+
+    dispatcher: Any
+    ivk: str
+    kind: Any
+    fn: Any
+    due: int                     # when its final answer is due
+    work: int                    # cost hint in ns; 0: none
+    spare: bool                  # worth least: a client's repetition, or beyond a share
+    sends: list[Send] = field(default_factory=list)
+    risky: list[Send] = field(default_factory=list)     # sends that may have run
+    out: int = 0                 # sends without an outcome yet
+    answered: bool = False
+    begun: bool = False          # a streamed answer has begun
+
+    @property
+    def over(self) -> bool:
+        """Nothing more can come for it."""
+        return self.answered and not self.out
+
+    def start(self, now: int) -> list[Step]:
+        return self.dispatcher.steps(self.dispatcher.go_on, self, now)
+
+    def returned(self, now: int, number: int, outcome: Outcome, waited: int, *, copy: Copy = Copy.UNTOLD,
+                 company: int = 0, final: bool = False, report: Report | None = None) -> list[Step]:
+        return self.dispatcher.steps(
+            self.dispatcher.judge, self.sends[number], now, outcome, waited, copy, final, company, report)
+
+    def streaming(self, now: int, number: int) -> list[Step]:
+        self.begun = True
+        return []
+
+    def left(self, now: int) -> list[Step]:
+        return self.dispatcher.steps(self.dispatcher.close, self, None)
+
+    def expire(self, now: int) -> None:
+        if not self.begun:
+            self.dispatcher.give_up(self, now)
