A home keeps our part of its lanes, as all front ends share them

Cause: each front end kept up to all lanes busy at a home, three or eight of them several times what it runs at once. Change: the exception for a home's lanes counts lanes over front ends, one at the least.

--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -15,7 +15,8 @@
 from itertools import count
 
 from threadshift.interface import (
-    MS, SECOND, Activation, Copy, Deployment, Do, Effect, Listing, NamespaceType, Outcome, Report, Send, State, Step)
+    MS, SECOND, Activation, Copy, Deployment, Do, Effect, Listing, NamespaceType, Outcome, Report, Send,
+    State, Step)
 
 POINTS = 150               # ring points a worker; the design's figure, spreads homes within some 8%
 EPSILON = 0.25             # room above the mean in flight; middle of the design's 0.1 to 0.5
@@ -30,7 +31,7 @@
 LOAD_START = SECOND        # usual load time until one is seen or told
 PATIENCE = 4               # times the expected latency before a send is overdue; past 98% of exponential work
 LEAST_PATIENCE = 0.4       # share of the target latency; leaves a second send time to meet it
-EASE = 0.45                # share of the target latency that answers may take on average; a tenth is then late
+EASE = 0.45                # share of the target latency that answers may take on average; a tenth is late
 FRESH = 0.15               # weight of the newest answer in a worker's pace
 PACE_FADE = 0.95           # what a round without an answer leaves of it: untried must not stay shunned
 FIRST_LIMIT = 4.0          # sends in flight at a worker before it has shown what it bears
@@ -74,8 +75,8 @@
 class Function:
     """A function, its place on the ring and its turn in a round-robin."""
 
-    def __init__(self, name: str, lanes: int, load: int):
-        self.name, self.lanes, self.load = name, max(1, lanes), load
+    def __init__(self, name: str, lanes: int, part: int, load: int):
+        self.name, self.lanes, self.part, self.load = name, lanes, part, load     # part: ours of its lanes
         self.at = point(name)
         self.cells = [(self.at >> 32 * row) % SKETCH_WIDTH for row in range(SKETCH_DEPTH)]
         self.order: list[Worker] = []
@@ -130,8 +131,8 @@
         self.fleet: list[Worker] = []           # workers on the ring
         self.version = self.most_workers = 0
         self.functions: dict[str, Function] = {}
-        self.sketch = [[0] * SKETCH_WIDTH for _ in range(SKETCH_DEPTH)]
-        self.before = self.sketch               # the window before: a reset must not make all look hot
+        # The window before is kept: with a reset's few counts all would look hot.
+        self.sketch, self.before = ([[0] * SKETCH_WIDTH for _ in range(SKETCH_DEPTH)] for _ in range(2))
         self.seen = self.seen_before = 0
         self.window_ends = now + SKETCH_WINDOW
         self.in_flight = 0
@@ -205,7 +206,8 @@
              work: int = 0, lanes: int = 1, load_time: int = 0, again: bool = False) -> Activation:
         fn = self.functions.get(fn_name)
         if fn is None:
-            fn = self.functions[fn_name] = Function(fn_name, lanes, load_time)
+            fn = self.functions[fn_name] = Function(
+                fn_name, max(1, lanes), max(1, lanes // self.front_ends), load_time)
         fn.asked = now
         if now >= self.window_ends:
             self.before, self.seen_before = self.sketch, self.seen
@@ -214,7 +216,8 @@
         self.seen += 1
         for row, cell in zip(self.sketch, fn.cells, strict=True):
             row[cell] += 1
-        self.took.append(now)
+        if self.load_window:
+            self.took.append(now)
         kind = self.kinds[type_name]
         if work:
             kind.work += 0.02 * (work - kind.work) if kind.work else work
@@ -237,8 +240,7 @@
         if total < HOT_LEAST:
             return 0.0
         return min(now[cell] + old[cell] for now, old, cell in zip(
-            self.sketch, self.before if self.seen_before else self.sketch, fn.cells, strict=True)) / (
-            total if self.seen_before else 2 * total)
+            self.sketch, self.before, fn.cells, strict=True)) / total
 
     def expected(self, act: Activation) -> float:
         """Usual latency of such a call where a copy stands."""
@@ -304,7 +306,7 @@
             coming = next((worker for worker in stops if worker.loading(fn)), None)
             if coming is not None:
                 # More calls waiting there than lanes would make the worker start copy after copy.
-                if coming.calls.get(fn.name, 0) < max(1, fn.lanes // self.front_ends):
+                if coming.calls.get(fn.name, 0) < fn.part:
                     return coming
                 if len(fn.parked) < PARKED * fn.lanes and not act.spare:
                     fn.parked.append(act)
@@ -316,7 +318,7 @@
                 if len(worker.sends) < SPARE * worker.limit and worker.pace <= SPARE * EASE:
                     return worker
             elif self.room(worker, now) or (worker is home and not fresh and worker.pace <= EASE and
-                                          worker.calls.get(fn.name, 0) < min(fn.lanes, worker.limit)):
+                                          worker.calls.get(fn.name, 0) < min(fn.part, worker.limit)):
                 chosen = worker
                 break
         else:
