Bound loads at once by how loads lengthen; fold constants

Change: cold sends and load orders together stay under a limit, one a worker at first, cut when a load takes over twice the usual or a cold send is turned away, regained one by one; what waits goes on by the most asked function first. Guards against any shared trouble of the store; harm: many slow big functions at once look like a crowded store.

--- a/threadshift/adapter/codec.py
+++ b/threadshift/adapter/codec.py
@@ -62,15 +62,6 @@
     def flag(self, name: str, default: bool | None = None) -> bool:
         return self.read(name, {"0": False, "1": True, "false": False, "true": True}.__getitem__, default)
 
-    def names(self, name: str) -> list[str]:
-        return [part for part in self.text(name, "").split(",") if part]
-
-    def numbers(self, name: str) -> dict[str, float]:
-        """name:value pairs set apart by commas."""
-        def convert(text: str) -> dict[str, float]:
-            return {key: float(value) for key, value in (part.split(":") for part in text.split(",") if part)}
-        return self.read(name, convert, {})
-
 
 class Frame:
     """One batch: its number, its clock and its event lines."""
--- a/threadshift/adapter/host.py
+++ b/threadshift/adapter/host.py
@@ -15,7 +15,6 @@
     Listing,
     NamespaceType,
     Outcome,
-    Report,
     State,
     Step,
     Tenant,
@@ -55,12 +54,10 @@
         tick=start.ns("tick", MS),
         max_sends=start.whole("limits.maxAttempts", 1),
         may_cancel=start.flag("limits.cancel", False),
-        may_probe=start.flag("limits.probes", False),
         may_duplicate=start.flag("limits.mayDuplicate", False),
         may_order=start.flag("familyInfo.placementCalls", False),
         longest_advice=start.ns("limits.maxRetryAfter", 0) if start.flag("limits.retryAfter", False) else 0,
         loads_on_miss=start.text("familyInfo.notLoaded", "load") == "load",
-        reports_in_answers=start.text("report.source", "off") == "inline",
         idle_keep=start.ns("familyInfo.staysLoaded", 0),
         load_window=start.ns("familyInfo.loadWindow", 0),
         load_free=start.number("familyInfo.loadFree", 0.0),
@@ -83,13 +80,6 @@
     return event.read("outcome", lambda text: OUTCOMES[int(text)])
 
 
-def report(event: Fields) -> Report | None:
-    told = event.numbers("usage")
-    if not told:
-        return None
-    return Report(told.get("utilization"), told.get("outstanding"), told.get("backlog"), told.get("x1"))
-
-
 class Instance:
     """One front end: its dispatcher, the handles it holds and its one pending reminder."""
 
@@ -119,10 +109,6 @@
             return self.dispatcher.held(
                 now, event.text("worker"), event.text("fn"), outcome(event),
                 event.whole("instances", 0), event.ns("waitTime", 0))
-        if word == "STATUS_BACK":
-            return self.dispatcher.probed(
-                now, event.text("worker"), outcome(event),
-                event.ns("waitTime", 0), report(event))
         if word == "HEADERS":
             act = self.acts.get(event.text("id"))
             return act.streaming(now, event.whole("go")) if act else []
@@ -150,11 +136,9 @@
         act = self.acts.get(name)
         if act is None:
             return []
-        info = event.whole("info", 0)
         return self.closed(act, act.returned(
             now, event.whole("go"), outcome(event), event.ns("waitTime", 0),
-            copy=COPIES.get(info % 8, Copy.UNTOLD), company=info // 8, final=event.flag("final", False),
-            report=report(event)))
+            copy=COPIES.get(event.whole("info", 0) % 8, Copy.UNTOLD), final=event.flag("final", False)))
 
     def closed(self, act, steps: list[Step]) -> list[Step]:
         """The steps, with the handle let go once nothing more can come for it."""
@@ -178,10 +162,6 @@
             return line("DROP_REQUEST", i=i, id=act.ivk)
         if step.do is Do.HOLD:
             return line("MOUNT", i=i, worker=step.worker, fn=step.fn, instances=step.amount)
-        if step.do is Do.UNLOAD:
-            return line("PUT_AWAY", i=i, worker=step.worker, fn=step.fn)
-        if step.do is Do.PROBE:
-            return line("PING", i=i, worker=step.worker)
         return line("SAY_LOG", i=i, words=step.text.translate(LOG_WORDS))
 
     def settle(self, now: int) -> list[str]:
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -1,9 +1,9 @@
 """Decides, for one front end, where each activation runs, when to send again and when to give up.
 
 Make a Dispatcher(seed, deployment, now) and call roster() with each list of workers. take() gives an
-Activation; call its start(), then returned() at each send's end and left() if the client quits. held() and
-probed() bring answers to load orders and probes; tick() is wanted when due() has come. Each returns the Steps
-to carry out, in order. Interface: interface.py. The mechanism and each departure from it: docs/design.md.
+Activation; call its start(), then returned() at each send's end and left() if the client quits. held() brings
+answers to load orders; tick() is wanted when due() has come. Each returns the Steps to carry out, in order.
+Interface: interface.py. The mechanism and each departure from it: docs/design.md.
 """
 from __future__ import annotations
 
@@ -15,47 +15,42 @@
 from itertools import count
 
 from threadshift.interface import (
-    MS, SECOND, Activation, Copy, Deployment, Do, Effect, Listing, NamespaceType, Outcome, Report, Send,
-    State, Step)
+    MS, SECOND, Activation, Copy, Deployment, Do, Effect, Listing, NamespaceType, Outcome, Send, State, Step)
 
 POINTS = 150               # ring points a worker; the design's figure, spreads homes within some 8%
 EPSILON = 0.25             # room above the mean in flight; middle of the design's 0.1 to 0.5
 SKETCH_WIDTH = 4096        # count-min cells a row; wide enough that some hundred functions hardly collide
 SKETCH_DEPTH = 4           # count-min rows; the write-up's figure
 SKETCH_WINDOW = 10 * SECOND    # after this the sketch resets; the design's figure
-HOT_SHARE = 0.05           # of recent calls; the design's threshold
+HOT_SHARE = 0.05           # of recent calls; the design's threshold; twice it earns the second successor
 HOT_LEAST = 100            # calls below which nothing is called hot: five calls would be 5% of less
-WIDE_SHARE = 0.10          # of recent calls; twice the threshold earns the second successor
 ROUND = 50 * MS            # period of the health round; a small part of any target latency in sight
 TYPICAL_START = 0.25       # share of the target latency taken as usual until answers are seen
 LOAD_START = SECOND        # usual load time until one is seen or told
 PATIENCE = 4               # times the expected latency before a send is overdue; past 98% of exponential work
-LEAST_PATIENCE = 0.4       # share of the target latency; leaves a second send time to meet it
 EASE = 0.45                # share of the target latency that answers may take on average; a tenth is late
 FRESH = 0.15               # weight of the newest answer in a worker's pace
 PACE_FADE = 0.95           # what a round without an answer leaves of it: untried must not stay shunned
 FIRST_LIMIT = 4.0          # sends in flight at a worker before it has shown what it bears
 CUT = 0.85                 # what one cut leaves of a limit; gentle, as answers vary with the work itself
-CUT_PAUSE = 200 * MS       # between two cuts, so that one queue is answered once
+CUT_PAUSE = 200 * MS       # between two cuts, so that one queue is answered once; a full worker rests so long
 GROW = 1.0                 # sends a second by which each limit recovers
 STRIKES = 2                # failures in a row that suspend a worker; one may be chance
 SUSPEND = 500 * MS         # first suspension; about the time two more failures would take to notice
 SUSPEND_MOST = 8 * SECOND  # longest suspension; restarts seen take longer, cuts end sooner
 BUDGET_SHARE = 0.1         # further sends earned by each completed activation; bounds re-send storms
 BUDGET_MOST = 10.0         # further sends that may be saved up
-FULL_PAUSE = 100 * MS      # a worker that answered full is passed over so long, some service times
 COLD_SAFETY = 0.8          # share of the stated cold budget that is spent; the rest is for chance
 RATE_MEMORY = 10 * SECOND  # memory of the rate of completed work
-LEAST_LEFT = 20 * MS       # time left below which a further send is pointless: a round trip and some work
 SKEW = 1.2                 # our part of a tenant's share over an equal one: halls are not equally busy
 SPARE = 0.6                # of a worker's room and pace is open to what is worth least
 PARKED = 8                 # activations a lane that may wait here for a load; more would be late in any case
-HOLD_PAUSE = 2 * SECOND    # after a failed load order for a function
-HOLDS_A_WORKER = 2         # our load orders out at one worker; workers run a few loads at a time
+CROWDED = 2.0              # times the usual load time at which the store counts as crowded
+HOLD_PAUSE = SECOND        # after a load order for a function; about a load, so that it widens stop by stop
 FORGET = 60 * SECOND       # a function unasked for so long is forgotten, to bound memory
 
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT, Outcome.MISS)
-FAILED = (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR)    # first two: connections
+FAILED = (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR)
 
 
 def point(text: str) -> int:
@@ -70,6 +65,7 @@
         self.group, self.span = told.group, told.memory_span
         self.typical = TYPICAL_START * told.target_latency      # ns from send to answer, copy standing
         self.work = 0.0                                         # mean cost hint
+        self.units = 1.0                                        # what a call weighs: that hint in s, if any
 
 
 class Function:
@@ -92,7 +88,6 @@
         self.name, self.zone, self.cell, self.size, self.since, self.ready = name, "", 0, 1.0, 0, False
         self.points = sorted(point(f"{name}#{i}") for i in range(POINTS))
         self.sends: dict[Send, None] = {}       # ours in flight, oldest first
-        self.calls: dict[str, int] = {}         # the same, by function
         self.warm: dict[str, int] = {}          # function: a copy is believed to stand until then
         self.loads: dict[str, int] = {}         # function: our load order out since
         self.spent: deque[tuple[int, float]] = deque()      # work sent lately, while cold
@@ -108,7 +103,10 @@
         self.limit, self.cut = FIRST_LIMIT, 0   # sends in flight that it bears; last cut, 0 before any
 
     def loading(self, fn: Function) -> bool:
-        return fn.name in self.loads or fn.name in self.calls
+        return fn.name in self.loads or self.calls(fn) > 0
+
+    def calls(self, fn: Function) -> int:
+        return sum(send.act.fn is fn for send in self.sends)
 
 
 class Dispatcher:
@@ -120,31 +118,30 @@
         self.margin = 2 * told.tick
         self.max_sends, self.may_cancel, self.may_twice = told.max_sends, told.may_cancel, told.may_duplicate
         self.advice, self.keep, self.on_miss_loads = told.longest_advice, told.idle_keep, told.loads_on_miss
-        self.load_window, self.load_free, self.load_ratio = (
-            (told.load_window, told.load_free, told.load_ratio) if told.may_order else (1, -1.0, 0.0))
+        self.load_window, self.load_ratio = told.load_window or 1, told.load_ratio
+        self.load_free = -1.0 if not told.may_order else told.load_free if told.load_window else float("inf")
         self.cold_share, self.cold_time, self.fall_time = told.cold_share, told.cold_time, told.fall_time
         self.cold_factor = COLD_SAFETY * told.fall_multiple * told.fall_time / SECOND
         self.shares = {each.name: SKEW * each.per_second / told.front_ends for each in told.tenants}
         self.saved: dict[str, tuple[float, int]] = {}
         self.workers: dict[str, Worker] = {}
-        self.ring: list[tuple[int, Worker]] = []
         self.fleet: list[Worker] = []           # workers on the ring
+        self.ring: list[tuple[int, Worker]] = []
         self.version = self.most_workers = 0
         self.functions: dict[str, Function] = {}
         # The window before is kept: with a reset's few counts all would look hot.
         self.sketch, self.before = ([[0] * SKETCH_WIDTH for _ in range(SKETCH_DEPTH)] for _ in range(2))
-        self.seen = self.seen_before = 0
-        self.window_ends = now + SKETCH_WINDOW
-        self.in_flight = 0
+        self.seen = self.seen_before = self.in_flight = 0
+        self.window_ends, self.next_round = now + SKETCH_WINDOW, now + ROUND
         self.budget = BUDGET_MOST / 2
         self.done, self.done_at = 0.0, now      # completed work, fading
         self.took: deque[int] = deque()         # times of activations, within the load window
         self.ordered: deque[int] = deque()      # times of load orders, within it
-        self.orders = 0                         # load orders out
+        self.orders = self.cold_out = 0         # out: load orders, and sends with no copy believed there
+        self.load_limit, self.load_cut = 0.0, 0     # how many of both the store bears; last cut
+        self.load_base = float(LOAD_START)      # a load's time when the store is at ease
         self.front_ends = told.front_ends
-        self.load_usual = float(LOAD_START)
-        self.next_round = now + ROUND
-        self.heap: list[tuple] = []
+        self.heap: list[tuple] = []             # (when, serial, what to call)
         self.serial = count()
         self.out: list[Step] = []
 
@@ -167,9 +164,8 @@
     # The fleet
 
     def roster(self, now: int, listings: list[Listing], full: bool) -> list[Step]:
-        named = set()
+        named = {told.worker for told in listings}
         for told in listings:
-            named.add(told.worker)
             worker = self.workers.get(told.worker)
             if worker is None:
                 worker = self.workers[told.worker] = Worker(told.worker)
@@ -189,6 +185,7 @@
             self.version += 1
             self.mean_size = sum(worker.size for worker in fleet) / max(1, len(fleet))
             self.most_workers = max(self.most_workers, len(fleet))
+            self.load_limit = self.load_limit or float(len(fleet))
         return []
 
     def order(self, fn: Function) -> list[Worker]:
@@ -216,11 +213,13 @@
         self.seen += 1
         for row, cell in zip(self.sketch, fn.cells, strict=True):
             row[cell] += 1
-        if self.load_window:
-            self.took.append(now)
+        self.took.append(now)
+        while self.took[0] <= now - self.load_window:
+            self.took.popleft()
         kind = self.kinds[type_name]
         if work:
             kind.work += 0.02 * (work - kind.work) if kind.work else work
+            kind.units = kind.work / SECOND
         act = Activation(self, ivk, kind, fn, now + max(0, left - self.margin), work,
                          again or self.beyond_share(tenant, now))
         heapq.heappush(self.heap, (act.due, next(self.serial), act.expire))
@@ -248,36 +247,32 @@
         return act.kind.typical * (0.5 + 0.5 * hint)
 
     def cap(self, worker: Worker, now: int) -> float:
+        """The design's cap, by told size; from one upwards for a worker that has just started."""
         cap = max(1.0, self.in_flight / len(self.fleet)) * (1 + EPSILON) * worker.size / self.mean_size
-        age = now - worker.since
-        if worker.since and age < self.cold_time:
-            cap = 1.0 + max(0.0, cap - 1.0) * age / self.cold_time
-        return cap
+        return min(cap, 1.0 + max(0.0, cap - 1.0) * self.age(worker, now))
+
+    def age(self, worker: Worker, now: int) -> float:
+        """Share of its warming that a started worker has behind it, by the latest time stated."""
+        return min(1.0, (now - worker.since) / self.cold_time) if worker.since and self.cold_time else 1.0
 
     def cold_room(self, worker: Worker, act: Activation, now: int) -> bool:
         """Whether our share of what a just started worker can take allows for one more.
 
         Assumes the least capacity the rule states, and for a warm worker no more than what completed here."""
-        age = now - worker.since
-        if not worker.since or age >= self.cold_time:
+        if self.age(worker, now) >= 1:
             return True
         while worker.spent and worker.spent[0][0] <= now - self.fall_time:
             worker.spent.popleft()
         if not worker.spent:
             return True
-        able = self.cold_share + (1 - self.cold_share) * age / self.cold_time
+        able = self.cold_share + (1 - self.cold_share) * self.age(worker, now)
         rate = self.done / (RATE_MEMORY / SECOND) / max(1, self.most_workers)
-        return sum(work for _, work in worker.spent) + self.units(act) <= self.cold_factor * able * rate
-
-    def units(self, act: Activation) -> float:
-        return act.kind.work / SECOND or 1.0
+        return sum(work for _, work in worker.spent) + act.kind.units <= self.cold_factor * able * rate
 
     def fit(self, worker: Worker, act: Activation, now: int) -> bool:
         if worker.until > now or worker.full > now or not self.cold_room(worker, act, now):
             return False
-        if worker.trial:
-            return not worker.sends and act.kind.effect is not Effect.ONCE_ONLY
-        return True
+        return not worker.trial or not worker.sends and act.kind.effect is not Effect.ONCE_ONLY
 
     def room(self, worker: Worker, now: int) -> bool:
         """Under its cap, and not choking on what others send it, which our own count cannot show."""
@@ -296,7 +291,7 @@
         home = stops[0]
         share = self.share(fn)
         if share > HOT_SHARE:
-            group = stops[:2 if share < WIDE_SHARE else 3]
+            group = stops[:2 if share < 2 * HOT_SHARE else 3]
             fn.turn += 1
             shift = fn.turn % len(group)
             stops = group[shift:] + group[:shift] + stops[len(group):]
@@ -306,19 +301,23 @@
             coming = next((worker for worker in stops if worker.loading(fn)), None)
             if coming is not None:
                 # More calls waiting there than lanes would make the worker start copy after copy.
-                if coming.calls.get(fn.name, 0) < fn.part:
+                if coming.calls(fn) < fn.part:
                     return coming
                 if len(fn.parked) < PARKED * fn.lanes and not act.spare:
                     fn.parked.append(act)
                 return None
+            if self.orders + self.cold_out >= self.load_limit:
+                if not act.spare and len(fn.parked) < PARKED * fn.lanes:
+                    fn.parked.append(act)
+                return None
             return next((worker for worker in stops if self.room(worker, now)), home)
-        fresh = home.since and now - home.since < self.cold_time
+        settled = self.age(home, now) >= 1
         for worker in warm:
             if act.spare:
                 if len(worker.sends) < SPARE * worker.limit and worker.pace <= SPARE * EASE:
                     return worker
-            elif self.room(worker, now) or (worker is home and not fresh and worker.pace <= EASE and
-                                          worker.calls.get(fn.name, 0) < min(fn.part, worker.limit)):
+            elif self.room(worker, now) or (worker is home and settled and worker.pace <= EASE and
+                                          worker.calls(fn) < min(fn.part, worker.limit)):
                 chosen = worker
                 break
         else:
@@ -338,14 +337,11 @@
             self.ordered.popleft()
         while self.took and self.took[0] <= now - self.load_window:
             self.took.popleft()
-        if not worker.ready or fn.pause > now or fn.name in worker.loads or (
-                len(worker.loads) >= HOLDS_A_WORKER):
-            return False
-        if self.load_window and len(self.ordered) + 1 > self.load_free + self.load_ratio * len(self.took) or (
-                self.orders >= max(2, len(self.fleet) // 4)):
+        if not worker.ready or fn.pause > now or self.orders + self.cold_out >= self.load_limit / 2 or (
+                    len(self.ordered) + 1 > self.load_free + self.load_ratio * len(self.took)):
             return False
         worker.loads[fn.name] = now
-        fn.pause = now + SUSPEND
+        fn.pause = now + HOLD_PAUSE
         self.orders += 1
         self.ordered.append(now)
         self.out.append(Step(Do.HOLD, worker=worker.name, fn=fn.name, amount=1))
@@ -358,35 +354,20 @@
             self.orders -= 1
         if outcome is Outcome.COMPLETED and copies:
             worker.warm[fn_name] = now + self.keep
-        elif fn_name in self.functions:
-            self.functions[fn_name].pause = now + HOLD_PAUSE
         return self.steps(self.wake, self.functions.get(fn_name), now)
 
-    def probed(self, now: int, name: str, outcome: Outcome, waited: int, report: Report | None) -> list[Step]:
-        return []
-
     # Sending
 
     def may_send(self, act: Activation, worker: Worker, now: int) -> bool:
         """Rules 1 to 3 for one send; true only where nothing can happen twice that must not."""
+        kind, maybe = act.kind, act.risky + [send for send in act.sends if send.out]
         if act.answered or act.begun or not worker.ready or act.due <= now or (
-                len(act.sends) >= self.max_sends):
+                len(act.sends) >= self.max_sends) or (act.out and not self.may_twice):
             return False
-        if act.out and not (self.may_twice and act.kind.effect is not Effect.ONCE_ONLY):
-            return False
-        maybe = act.risky + [send for send in act.sends if send.out]
-        if not maybe or act.kind.effect is Effect.REPEATABLE:
-            return True
-        kind = act.kind
-        return kind.effect is Effect.DEDUPLICATED and all(
+        return not maybe or kind.effect is Effect.REPEATABLE or kind.effect is Effect.DEDUPLICATED and all(
             (kind.group == "all" or getattr(send.worker, kind.group) == getattr(worker, kind.group))
             and now + self.margin < send.at + kind.span for send in maybe)
 
-    def may_reject(self, act: Activation) -> bool:
-        kind = act.kind
-        return kind.effect is Effect.REPEATABLE or not (act.risky or act.out) or (
-            kind.effect is Effect.DEDUPLICATED and kind.group == "all")
-
     def send(self, act: Activation, worker: Worker, now: int) -> bool:
         """Every send passes here."""
         if not self.may_send(act, worker, now):
@@ -395,10 +376,10 @@
         act.sends.append(send)
         act.out += 1
         worker.sends[send] = None
-        worker.calls[act.fn.name] = worker.calls.get(act.fn.name, 0) + 1
         self.in_flight += 1
-        if worker.since and now - worker.since < self.cold_time:
-            worker.spent.append((now, self.units(act)))
+        self.cold_out += not send.warm
+        if self.age(worker, now) < 1:
+            worker.spent.append((now, act.kind.units))
         self.out.append(Step(Do.SEND, act, worker.name))
         return True
 
@@ -423,8 +404,11 @@
             self.go_on(fn.parked.popleft(), now)
 
     def give_up(self, act: Activation, now: int) -> None:
-        if not act.answered:
-            self.close(act, Do.REJECT if self.may_reject(act) else Do.ABORT)
+        """A rejection says that trying again is harmless, so it must be; else abort."""
+        kind = act.kind
+        harmless = kind.effect is Effect.REPEATABLE or not (act.risky or act.out) or (
+            kind.effect is Effect.DEDUPLICATED and kind.group == "all")
+        self.close(act, Do.REJECT if harmless else Do.ABORT)
 
     def close(self, act: Activation, how: Do | None) -> None:
         """The one place that gives a final answer; None where the client has it or wants none."""
@@ -433,24 +417,21 @@
         act.answered = True
         if how is not None:
             self.out.append(Step(how, act, amount=self.advice if how is Do.REJECT else 0))
-        if self.may_cancel:
-            self.out.extend(Step(Do.CANCEL, act, send.worker.name, amount=send.number)
-                            for send in act.sends if send.out and not act.begun)
+        for send in act.sends if self.may_cancel and not act.begun else ():
+            if send.out:
+                self.out.append(Step(Do.CANCEL, act, send.worker.name, amount=send.number))
 
     # What came of it
 
-    def judge(self, send: Send, now: int, outcome: Outcome, waited: int, copy: Copy, final: bool,
-              company: int, report: Report | None) -> None:
+    def judge(self, send: Send, now: int, outcome: Outcome, waited: int, copy: Copy, final: bool) -> None:
         if not send.out:
             return
         act, worker, fn = send.act, send.worker, send.act.fn
         send.out = False
         act.out -= 1
         self.in_flight -= 1
-        worker.sends.pop(send, None)
-        worker.calls[fn.name] -= 1
-        if not worker.calls[fn.name]:
-            del worker.calls[fn.name]
+        self.cold_out -= not send.warm
+        del worker.sends[send]
         if outcome not in NEVER_RAN:
             act.risky.append(send)
         self.learn(send, now, outcome, waited, copy)
@@ -463,11 +444,12 @@
                 self.hold(worker, fn, now) or fn.name in worker.loads):
             fn.parked.append(act)
             return
-        if act.due - now < LEAST_LEFT or (outcome not in NEVER_RAN and self.budget < 1):
+        ran = outcome not in NEVER_RAN
+        if ran and self.budget < 1:
             self.give_up(act, now)
-            return
-        self.budget -= outcome not in NEVER_RAN
-        self.go_on(act, now)
+        else:
+            self.budget -= ran
+            self.go_on(act, now)
 
     def learn(self, send: Send, now: int, outcome: Outcome, waited: int, copy: Copy) -> None:
         worker, act, fn = send.worker, send.act, send.act.fn
@@ -478,7 +460,7 @@
             worker.warm[fn.name] = now + self.keep
             self.budget = min(BUDGET_MOST, self.budget + BUDGET_SHARE)
             self.done *= max(0.0, 1 - (now - self.done_at) / RATE_MEMORY)
-            self.done, self.done_at = self.done + self.units(act), now
+            self.done, self.done_at = self.done + act.kind.units, now
             if copy is Copy.FOUND or (copy is Copy.UNTOLD and send.warm):
                 ratio = waited / max(1.0, self.expected(act))
                 worker.pace += FRESH * (act.kind.typical * ratio / act.kind.target - worker.pace)
@@ -488,21 +470,31 @@
                 elif len(worker.sends) + 1 >= worker.limit:
                     worker.limit += 1 / worker.limit if worker.cut else 1
             elif copy is Copy.BEGAN:
-                self.load_usual += 0.1 * (waited - self.load_usual)
+                self.load_base *= 1 - 0.04 if waited < self.load_base else 1 + 0.02
+                self.crowd(waited > CROWDED * self.load_base, now)
                 # Gone where we believed it stood: a release or a squeeze. Older beliefs on it are no better.
                 for other in self.fleet if send.warm else ():
                     if other is not worker and other.warm.get(fn.name, 0) < send.at + self.keep:
                         other.warm.pop(fn.name, None)
         elif outcome is Outcome.FULL:
             worker.heard = now
-            worker.full = now + FULL_PAUSE
+            worker.full = now + CUT_PAUSE
             worker.pace += FRESH * (1.0 - worker.pace)
             self.ease(worker, now)
+            if not send.warm:
+                self.crowd(True, now)
         elif outcome is Outcome.MISS:
             worker.heard = now
             worker.warm.pop(fn.name, None)
         elif copy is not Copy.LOAD_FAILED and outcome in FAILED:
-            self.strike(worker, now, outcome in FAILED[:2])
+            self.strike(worker, now)
+
+    def crowd(self, crowded: bool, now: int) -> None:
+        """Store and loaders are shared by all: lengthening or failing loads mean fewer at once."""
+        if not crowded:
+            self.load_limit = min(self.load_limit + 1 / self.load_limit, float(len(self.fleet)))
+        elif now - self.load_cut >= CUT_PAUSE:
+            self.load_limit, self.load_cut = max(2.0, CUT * self.load_limit), now
 
     def ease(self, worker: Worker, now: int) -> None:
         """Too much for it, whether small, slow, full or pressed by others: it gets fewer at a time."""
@@ -510,7 +502,7 @@
             worker.limit = max(1.0, CUT * min(worker.limit, len(worker.sends) + 1))
             worker.cut = now
 
-    def strike(self, worker: Worker, now: int, dead: bool) -> None:
+    def strike(self, worker: Worker, now: int) -> None:
         """Fast failures and silence look idle to the cap: suspend, longer each time, then one trial."""
         worker.strikes += 1
         if worker.until > now or (worker.strikes < STRIKES and not worker.trial):
@@ -519,12 +511,11 @@
         worker.until = now + int(length * (0.75 + 0.5 * self.chance()))
         worker.suspensions += 1
         worker.trial = True
-        if dead:
-            worker.warm.clear()
+        worker.warm.clear()
 
     def patience(self, send: Send) -> float:
-        wait = max(PATIENCE * self.expected(send.act), LEAST_PATIENCE * send.act.kind.target)
-        return wait if send.warm else wait + 2 * (send.act.fn.load or self.load_usual)
+        wait = max(PATIENCE * self.expected(send.act), EASE * send.act.kind.target)
+        return wait if send.warm else wait + 2 * CROWDED * (send.act.fn.load or self.load_base)
 
     def round(self, now: int) -> None:
         """Looks for workers that answer nothing and moves what may be moved away from them."""
@@ -535,10 +526,10 @@
             late = [send for send in worker.sends if now - send.at > self.patience(send)]
             if late and worker.heard < late[0].at and worker.until <= now:
                 worker.strikes = STRIKES
-                self.strike(worker, now, False)
+                self.strike(worker, now)
             for send in late if worker.until > now or not worker.ready else ():
                 self.move(send, now)
-        for fn in list(self.functions.values()):
+        for fn in sorted(self.functions.values(), key=lambda fn: -len(fn.parked)):
             if fn.parked and not any(worker.loading(fn) for worker in self.fleet):
                 self.wake(fn, now)
             if now - fn.asked > FORGET:
@@ -548,7 +539,7 @@
         """Off a suspended worker: cancel, so that the outcome brings the next send, or send a second."""
         act = send.act
         if act.answered or act.begun or act.out > 1 or act.kind.effect is not Effect.REPEATABLE or (
-                self.budget < 1 or act.due - now < LEAST_LEFT or len(act.sends) >= self.max_sends):
+                self.budget < 1 or act.due <= now or len(act.sends) >= self.max_sends):
             return
         if self.may_twice:
             worker = self.place(act, now)
--- a/threadshift/interface.py
+++ b/threadshift/interface.py
@@ -60,8 +60,6 @@
     REJECT = "reject"      # final answer; the client may come back after `amount` ns (0: no advice)
     ABORT = "abort"        # final answer
     HOLD = "hold"          # load order: `amount` copies of fn at worker
-    UNLOAD = "unload"      # idle copies of fn at worker
-    PROBE = "probe"        # ask worker for its load report
     NOTE = "note"          # a line for the operators' log, in `text`
 
 
@@ -108,12 +106,10 @@
     tick: int = MS
     max_sends: int = 1
     may_cancel: bool = False
-    may_probe: bool = False
     may_duplicate: bool = False
     may_order: bool = False
     longest_advice: int = 0      # the longest time to come back that clients heed; 0: none may be named
     loads_on_miss: bool = True
-    reports_in_answers: bool = False
     idle_keep: int = 0           # an idle copy stays at least this long
     load_window: int = 0         # load orders: within this window (0: no limit) ...
     load_free: float = 0.0       # ... at most so many ...
@@ -136,15 +132,6 @@
     size: float = 1.0            # to be set against other workers' sizes
 
 
-class Report(NamedTuple):
-    """A worker's own word on its load; None where it does not say."""
-
-    busy: float | None = None            # share of its cores at work
-    in_flight: float | None = None       # activations held
-    queued: float | None = None          # activations waiting
-    loading: float | None = None         # loads under way or waiting
-
-
 @dataclass(slots=True, eq=False)
 class Send:
     """One try of an activation on a worker."""
@@ -183,9 +170,9 @@
         return self.dispatcher.steps(self.dispatcher.go_on, self, now)
 
     def returned(self, now: int, number: int, outcome: Outcome, waited: int, *, copy: Copy = Copy.UNTOLD,
-                 company: int = 0, final: bool = False, report: Report | None = None) -> list[Step]:
-        return self.dispatcher.steps(
-            self.dispatcher.judge, self.sends[number], now, outcome, waited, copy, final, company, report)
+                 final: bool = False) -> list[Step]:
+        send = self.sends[number]
+        return self.dispatcher.steps(self.dispatcher.judge, send, now, outcome, waited, copy, final)
 
     def streaming(self, now: int, number: int) -> list[Step]:
         self.begun = True
