Heavy calls need a calmer worker, by their cost hint

Change: a call heavier than usual for its type takes a stop only if the stop's pace, times its weight, leaves the target latency within reach; overflow goes to the freest stop under its limit. Acts only where hints are told.

--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -274,9 +274,9 @@
             return False
         return not worker.trial or not worker.sends and act.kind.effect is not Effect.ONCE_ONLY
 
-    def room(self, worker: Worker, now: int) -> bool:
+    def room(self, worker: Worker, now: int, heft: float = 1.0) -> bool:
         """Under its cap, and not choking on what others send it, which our own count cannot show."""
-        return len(worker.sends) < min(self.cap(worker, now), worker.limit) and worker.pace <= EASE
+        return len(worker.sends) < min(self.cap(worker, now), worker.limit) and worker.pace * heft <= EASE
 
     def place(self, act: Activation, now: int) -> Worker | None:
         """Home, or the walk's first stop with room; see docs/design.md for where warmth bends the walk."""
@@ -299,33 +299,31 @@
         warm = [worker for worker in stops if worker.warm.get(fn.name, 0) > now]
         if not warm:
             coming = next((worker for worker in stops if worker.loading(fn)), None)
-            if coming is not None:
-                # More calls waiting there than lanes would make the worker start copy after copy.
-                if coming.calls(fn) < fn.part:
-                    return coming
-                if len(fn.parked) < PARKED * fn.lanes and not act.spare:
-                    fn.parked.append(act)
-                return None
-            if self.orders + self.cold_out >= self.load_limit:
-                if not act.spare and len(fn.parked) < PARKED * fn.lanes:
-                    fn.parked.append(act)
-                return None
-            return next((worker for worker in stops if self.room(worker, now)), home)
+            if coming is None and self.orders + self.cold_out < self.load_limit:
+                return next((worker for worker in stops if self.room(worker, now)), home)
+            # More calls waiting for a load than lanes would make the worker start copy after copy.
+            if coming is not None and coming.calls(fn) < fn.part:
+                return coming
+            if len(fn.parked) < PARKED * fn.lanes and not act.spare:
+                fn.parked.append(act)
+            return None
         settled = self.age(home, now) >= 1
+        heft = max(1.0, self.expected(act) / act.kind.typical)      # heavy calls bear less company
         for worker in warm:
             if act.spare:
                 if len(worker.sends) < SPARE * worker.limit and worker.pace <= SPARE * EASE:
                     return worker
-            elif self.room(worker, now) or (worker is home and settled and worker.pace <= EASE and
-                                          worker.calls(fn) < min(fn.part, worker.limit)):
+            elif self.room(worker, now, heft) or (
+                    worker is home and settled and worker.pace * heft <= EASE and
+                    worker.calls(fn) < min(fn.part, worker.limit)):
                 chosen = worker
                 break
         else:
             if act.spare:
                 return None
-            chosen = min(warm, key=lambda worker: len(worker.sends) / worker.limit)
-            if len(chosen.sends) >= chosen.limit:
-                chosen = next((worker for worker in stops if self.room(worker, now)), None)
+            able = [worker for worker in warm if len(worker.sends) < worker.limit]
+            chosen = min(able, key=lambda worker: len(worker.sends) / worker.limit, default=None) or next(
+                (worker for worker in stops if self.room(worker, now)), None)
             first = next((worker for worker in stops if worker not in warm and self.room(worker, now)), first)
         if first not in warm and chosen is not first and self.room(first, now):
             self.hold(first, fn, now)
