--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -76,9 +76,8 @@
         self.at = point(name)
         self.cells = [(self.at >> 32 * row) % SKETCH_WIDTH for row in range(SKETCH_DEPTH)]
         self.order: list[Worker] = []
-        self.version, self.turn, self.asked = -1, 0, 0
+        self.version, self.turn, self.asked, self.pause = -1, 0, 0, 0     # pause: no load order before it
         self.parked: deque[Activation] = deque()    # waiting here for a load under way
-        self.pause = 0                              # no load order before this
 
 
 class Worker:
@@ -122,8 +121,9 @@
         self.load_free = -1.0 if not told.may_order else told.load_free if told.load_window else float("inf")
         self.cold_share, self.cold_time, self.fall_time = told.cold_share, told.cold_time, told.fall_time
         self.cold_factor = COLD_SAFETY * told.fall_multiple * told.fall_time / SECOND
-        self.shares = {each.name: SKEW * each.per_second / told.front_ends for each in told.tenants}
-        self.saved: dict[str, tuple[float, int]] = {}
+        self.shares = {each.name: int(SECOND * told.front_ends / SKEW / each.per_second)
+                       for each in told.tenants if each.per_second > 0}     # ns a call within our part takes
+        self.paid: dict[str, int] = {}          # until when a tenant's calls have used its share up
         self.workers: dict[str, Worker] = {}
         self.fleet: list[Worker] = []           # workers on the ring
         self.ring: list[tuple[int, Worker]] = []
@@ -166,9 +166,8 @@
     def roster(self, now: int, listings: list[Listing], full: bool) -> list[Step]:
         named = {told.worker for told in listings}
         for told in listings:
-            worker = self.workers.get(told.worker)
-            if worker is None:
-                worker = self.workers[told.worker] = Worker(told.worker)
+            worker = self.workers.get(told.worker) or Worker(told.worker)
+            self.workers[told.worker] = worker
             worker.zone, worker.cell, worker.size = told.zone, told.cell, max(told.size, 0.01)
             worker.ready = told.state is State.READY
             if told.since > worker.since:
@@ -203,8 +202,8 @@
              work: int = 0, lanes: int = 1, load_time: int = 0, again: bool = False) -> Activation:
         fn = self.functions.get(fn_name)
         if fn is None:
-            fn = self.functions[fn_name] = Function(
-                fn_name, max(1, lanes), max(1, lanes // self.front_ends), load_time)
+            part = max(1, lanes // self.front_ends)
+            fn = self.functions[fn_name] = Function(fn_name, max(1, lanes), part, load_time)
         fn.asked = now
         if now >= self.window_ends:
             self.before, self.seen_before = self.sketch, self.seen
@@ -227,19 +226,17 @@
 
     def beyond_share(self, tenant: str, now: int) -> bool:
         """Whether this call is more than our part of what its tenant may ask, a second's worth saved up."""
-        rate = self.shares.get(tenant, 0.0)
-        saved, at = self.saved.get(tenant, (rate, now))
-        saved = min(rate, saved + rate * (now - at) / SECOND) - 1
-        self.saved[tenant] = (max(saved, 0.0), now)
-        return rate > 0 and saved < 0
+        if tenant not in self.shares or max(self.paid.get(tenant, 0), now - SECOND) > now:
+            return tenant in self.shares
+        self.paid[tenant] = max(self.paid.get(tenant, 0), now - SECOND) + self.shares[tenant]
+        return False
 
     def share(self, fn: Function) -> float:
         """Of recent calls, by the sketch; nothing on too few."""
         total = self.seen + self.seen_before
-        if total < HOT_LEAST:
-            return 0.0
-        return min(now[cell] + old[cell] for now, old, cell in zip(
-            self.sketch, self.before, fn.cells, strict=True)) / total
+        return 0.0 if total < HOT_LEAST else min(
+            now[cell] + old[cell] for now, old, cell in zip(
+                self.sketch, self.before, fn.cells, strict=True)) / total
 
     def expected(self, act: Activation) -> float:
         """Usual latency of such a call where a copy stands."""
@@ -263,16 +260,14 @@
             return True
         while worker.spent and worker.spent[0][0] <= now - self.fall_time:
             worker.spent.popleft()
-        if not worker.spent:
-            return True
         able = self.cold_share + (1 - self.cold_share) * self.age(worker, now)
         rate = self.done / (RATE_MEMORY / SECOND) / max(1, self.most_workers)
-        return sum(work for _, work in worker.spent) + act.kind.units <= self.cold_factor * able * rate
+        return not worker.spent or (
+            sum(work for _, work in worker.spent) + act.kind.units <= self.cold_factor * able * rate)
 
     def fit(self, worker: Worker, act: Activation, now: int) -> bool:
-        if worker.until > now or worker.full > now or not self.cold_room(worker, act, now):
-            return False
-        return not worker.trial or not worker.sends and act.kind.effect is not Effect.ONCE_ONLY
+        return max(worker.until, worker.full) <= now and self.cold_room(worker, act, now) and (
+            not worker.trial or not worker.sends and act.kind.effect is not Effect.ONCE_ONLY)
 
     def room(self, worker: Worker, now: int, heft: float = 1.0) -> bool:
         """Under its cap, and not choking on what others send it, which our own count cannot show."""
@@ -348,8 +343,7 @@
     def held(self, now: int, name: str, fn_name: str, outcome: Outcome, copies: int,
              waited: int) -> list[Step]:
         worker = self.workers[name]
-        if worker.loads.pop(fn_name, None) is not None:
-            self.orders -= 1
+        self.orders -= worker.loads.pop(fn_name, None) is not None
         if outcome is Outcome.COMPLETED and copies:
             worker.warm[fn_name] = now + self.keep
         return self.steps(self.wake, self.functions.get(fn_name), now)
@@ -388,13 +382,14 @@
         worker = self.place(act, now)
         if act.fn.parked and act.fn.parked[-1] is act:
             return
-        if worker is not None and act.sends and worker.warm.get(act.fn.name, 0) <= now:
-            # Turned away once, an activation must not start load after load on its walk: that feeds a storm.
-            self.budget -= 1
-            if self.budget < 0:
-                worker = None
-        if worker is None or not self.send(act, worker, now):
+        # Work done again, and load after load begun on one walk, would feed a storm: both are budgeted.
+        cost = 0
+        if act.sends and worker is not None:
+            cost = bool(act.risky) + (worker.warm.get(act.fn.name, 0) <= now)
+        if worker is None or self.budget < cost or not self.send(act, worker, now):
             self.give_up(act, now)
+        else:
+            self.budget -= cost
 
     def wake(self, fn: Function | None, now: int) -> None:
         """Two of those parked go on for each answer, so that a fresh copy is not flooded at once."""
@@ -442,12 +437,7 @@
                 self.hold(worker, fn, now) or fn.name in worker.loads):
             fn.parked.append(act)
             return
-        ran = outcome not in NEVER_RAN
-        if ran and self.budget < 1:
-            self.give_up(act, now)
-        else:
-            self.budget -= ran
-            self.go_on(act, now)
+        self.go_on(act, now)
 
     def learn(self, send: Send, now: int, outcome: Outcome, waited: int, copy: Copy) -> None:
         worker, act, fn = send.worker, send.act, send.act.fn
