--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,34 +1,99 @@
+import random
 import unittest
 
 from tests.helpers import call, does, front_end, ready, sent
-from threadshift.interface import MS, Do, Effect, Outcome, State
+from threadshift.interface import MS, SECOND, Copy, Do, Effect, NamespaceType, Outcome, State, Tenant
 
 ONCE, AGAIN, MARKED = Effect.ONCE_ONLY, Effect.REPEATABLE, Effect.DEDUPLICATED
 
 
-class Ring(unittest.TestCase):
+def serve(it, fn="f", now=0, ivk="a", took=10 * MS, copy=Copy.FOUND, **facts):
+    """One call asked for and completed at once; where it went."""
+    act, steps = call(it, ivk, now, fn, **facts)
+    act.returned(now + took, 0, Outcome.COMPLETED, took, copy=copy, final=True)
+    return sent(steps)[0]
+
+
+class Mechanism(unittest.TestCase):
     def test_homes_agree_and_move_minimally(self):
-        one, other = front_end(8, seed=1), front_end(8, seed=2)
-        names = [f"fn{n}" for n in range(60)]
-        third = front_end(8)
+        one, other, third = front_end(8, seed=1), front_end(8, seed=2), front_end(8)
         third.roster(0, [ready("w3", State.DRAINING)], full=False)
-        for fn in names:
-            homes = []
-            for it in (one, other, third):
-                act, steps = call(it, fn, fn=fn)
-                homes += sent(steps)
-                act.returned(MS, 0, Outcome.COMPLETED, MS, final=True)
+        for fn in [f"fn{n}" for n in range(60)]:
+            homes = [serve(it, fn) for it in (one, other, third)]
             self.assertEqual(homes[0], homes[1])
             self.assertEqual(homes[2] != homes[0], homes[0] == "w3", fn)
 
+    def test_a_worker_stands_once_in_a_walk(self):
+        it = front_end(5)
+        act, _ = call(it)
+        names = [worker.name for worker in it.order(act.fn)]
+        self.assertEqual(sorted(names), [f"w{n}" for n in range(5)])
+
+    def test_cap_and_walk(self):
+        # calls of one function held at once, front ends, lanes, workers used while two copies stand
+        cases = ((1, 1, 1, 1), (2, 1, 2, 1), (4, 1, 4, 1), (3, 1, 1, 2), (3, 3, 3, 2))
+        for held, fronts, lanes, used in cases:
+            it = front_end(4, front_ends=fronts)
+            home = serve(it, lanes=lanes)
+            stops = [worker.name for worker in it.order(it.functions["f"])]
+            it.workers[stops[1]].warm["f"] = 10 * SECOND
+            went = [sent(call(it, f"c{n}", fn="f")[1])[0] for n in range(held)]
+            self.assertEqual((went[0], len(set(went))), (home, used), (held, fronts, lanes))
+
+    def test_hot_function_spreads_before_and_after_a_reset(self):
+        # share of calls, distinct homes on an idle fleet with copies everywhere
+        for every, spread in ((30, 1), (12, 2), (4, 3)):
+            it = front_end(6)
+            went, now = set(), 0
+            for n in range(1200):
+                now = n * 20 * MS              # 24 s: two resets of the sketch
+                fn = "f" if n % every == 0 else f"other{n % 40}"
+                for worker in it.fleet:
+                    worker.warm[fn] = now + SECOND
+                place = serve(it, fn, now)
+                if fn == "f" and n > 300:
+                    went.add(place)
+            self.assertEqual(len(went), spread, every)
+
+    def test_few_calls_after_a_reset_do_not_look_hot(self):
+        it = front_end(6)
+        for n in range(5):
+            serve(it, "f", n * MS)
+        self.assertEqual(it.share(it.functions["f"]), 0.0)
+
+    def test_warm_stop_before_a_cold_home_and_an_order_for_home(self):
+        it = front_end(4)
+        serve(it)
+        home, other = it.order(it.functions["f"])[:2]
+        home.warm.clear()
+        other.warm["f"] = 10 * SECOND
+        _, steps = call(it, now=2 * SECOND)
+        self.assertEqual(sent(steps), [other.name])
+        self.assertEqual([step.worker for step in steps if step.do is Do.HOLD], [home.name])
+        it.held(3 * SECOND, home.name, "f", Outcome.COMPLETED, 1, SECOND)
+        self.assertEqual(serve(it, now=3 * SECOND), home.name)
 
-class Answers(unittest.TestCase):
+    def test_calls_wait_for_one_load(self):
+        it = front_end(4)
+        acts = [call(it, f"c{n}", lanes=2) for n in range(5)]
+        self.assertEqual([len(sent(steps)) for _, steps in acts], [1, 0, 0, 0, 0])
+        steps = acts[0][0].returned(SECOND, 0, Outcome.COMPLETED, SECOND, copy=Copy.BEGAN, final=True)
+        self.assertEqual(len(sent(steps)), 2)
+
+    def test_miss_orders_a_copy_and_sends_again(self):
+        it = front_end(4, loads_on_miss=False)
+        act, steps = call(it)
+        home = sent(steps)[0]
+        steps = act.returned(5 * MS, 0, Outcome.MISS, 5 * MS)
+        self.assertEqual([(step.do, step.worker, step.amount) for step in steps], [(Do.HOLD, home, 1)])
+        self.assertEqual(sent(it.held(SECOND, home, "f", Outcome.COMPLETED, 1, SECOND)), [home])
+
+
+class Rules(unittest.TestCase):
     def test_every_outcome_and_effect(self):
-        unrun = {Outcome.FULL, Outcome.UNREACHABLE, Outcome.MISS}
-        for outcome in Outcome:
+        unrun = {Outcome.FULL, Outcome.UNREACHABLE, Outcome.MISS, Outcome.MOOT}
+        for outcome in set(Outcome) - {Outcome.COMPLETED}:
             for effect in Effect:
-                if outcome in (Outcome.COMPLETED, Outcome.MOOT):
-                    continue
                 it = front_end()
                 act, _ = call(it, effect=effect)
                 steps = act.returned(10 * MS, 0, outcome, 10 * MS)
@@ -36,6 +101,17 @@
                 again = effect is not ONCE or outcome in unrun
                 self.assertEqual(does(steps), [Do.SEND if again else Do.ABORT], (outcome, effect))
 
+    def test_deduplicated_stays_in_group_and_span(self):
+        # zone of the other worker, when the time-out comes, whether sent again
+        for zone, when, again in (("z", SECOND, True), ("y", SECOND, False), ("z", 1990 * MS, True),
+                                  ("z", 1993 * MS, False)):
+            it = front_end(0)
+            it.roster(0, [ready("w0", zone="z"), ready("w1", zone=zone)], full=True)
+            act, steps = call(it, effect=MARKED)
+            it.workers[sent(steps)[0]].until = 10 * SECOND
+            steps = act.returned(when, 0, Outcome.TIMEOUT, when)
+            self.assertEqual(does(steps), [Do.SEND if again else Do.ABORT], (zone, when))
+
     def test_answered_in_time_and_once(self):
         for effect in Effect:
             it = front_end()
@@ -45,13 +121,156 @@
                 now = it.due()
                 self.assertLess(now, 100 * MS)
                 steps += it.tick(now)
-            self.assertIn(does(steps)[0], (Do.ABORT, Do.REJECT))
-            self.assertEqual(does(steps)[0] is Do.REJECT, effect is AGAIN)
+            final = [do for do in does(steps) if do in (Do.ABORT, Do.REJECT)]
+            self.assertEqual(final, [Do.REJECT if effect is AGAIN else Do.ABORT])
             self.assertEqual(act.returned(99 * MS, 0, Outcome.FULL, 99 * MS), [])
 
+    def test_nothing_new_to_draining_gone_or_unlisted(self):
+        listings = ([ready("w0", State.DRAINING)], [ready("w0", State.GONE)])
+        for changes, full in ((listings[0], False), (listings[1], False), ([ready("w1")], True)):
+            it = front_end(2)
+            it.roster(0, changes, full=full)
+            for n in range(20):
+                fn = f"fn{n}"
+                self.assertEqual(serve(it, fn), "w1")
+                self.assertFalse(it.hold(it.workers["w0"], it.functions[fn], 0))
+
     def test_empty_ring_rejects_at_once(self):
         self.assertEqual(does(call(front_end(0))[1]), [Do.REJECT])
 
+    def test_cold_worker_gets_no_more_than_its_budget(self):
+        # age of the worker, rate of completed work a second and worker, sends let through in any window
+        for age, rate, most in ((0, 10.0, 3), (5 * SECOND, 10.0, 9), (10 * SECOND, 10.0, 60), (0, 0.0, 1)):
+            start = SECOND
+            it = front_end(1, since=start, front_ends=1)
+            now = start + age
+            it.done, it.done_at, it.budget = 10 * rate, now, 10.0
+            it.workers["w0"].limit = 100.0
+            passed = 0
+            for n in range(60):
+                act, steps = call(it, f"c{n}", now + n * MS, fn=f"fn{n}")
+                passed += len(sent(steps))
+                act.returned(now + n * MS, 0, Outcome.FULL, 0) if sent(steps) else None
+                it.workers["w0"].full = 0
+            self.assertLessEqual(passed, most, (age, rate))
+            self.assertGreaterEqual(passed, 1)
+
+    def test_load_orders_at_the_edge_of_the_ration(self):
+        # free orders, ratio, activations taken in the window, orders allowed
+        for free, ratio, taken, allowed in ((6, 0.2, 0, 6), (6, 0.2, 5, 7), (0, 0.2, 4, 0), (0, 0.2, 5, 1)):
+            it = front_end(40, load_window=5 * SECOND, load_free=free, load_ratio=ratio)
+            it.load_limit = 1000.0
+            for n in range(taken):
+                act = it.take(SECOND, f"c{n}", AGAIN.value, "f", SECOND)
+                act.left(SECOND)
+            call(it, fn="g")
+            it.took.clear()
+            it.took.extend([SECOND] * taken)
+            given = 0
+            for worker in it.fleet:
+                it.functions["g"].pause = 0
+                given += it.hold(worker, it.functions["g"], 2 * SECOND)
+            self.assertEqual(given, allowed, (free, ratio, taken))
+
+    def test_one_final_answer_whatever_happens(self):
+        for seed in range(12):
+            chance = random.Random(seed)
+            it = front_end(5, seed, may_duplicate=seed % 2 == 0)
+            acts, finals, now = [], {}, 0
+            for n in range(400):
+                now += chance.randrange(40) * MS
+                if chance.random() < 0.05:
+                    it.roster(now, [ready(f"w{n % 5}", chance.choice(list(State)), since=now)], full=False)
+                steps = it.tick(now)
+                if chance.random() < 0.5:
+                    act, more = call(it, str(n), now, f"fn{n % 7}", chance.choice(list(Effect)),
+                                     chance.randrange(1, 2000) * MS)
+                    acts.append((act, now))
+                    steps += more
+                waiting = [send for act, _ in acts for send in act.sends if send.out]
+                if waiting and chance.random() < 0.6:
+                    send = chance.choice(waiting)
+                    outcome = chance.choice(list(Outcome))
+                    done = outcome is Outcome.COMPLETED and not send.act.answered
+                    finals[send.act.ivk] = finals.get(send.act.ivk, 0) + done
+                    steps += send.act.returned(now, send.number, outcome, now - send.at, final=done)
+                for step in steps:
+                    if step.do in (Do.REJECT, Do.ABORT):
+                        finals[step.act.ivk] = finals.get(step.act.ivk, 0) + 1
+                    if step.do is Do.SEND:
+                        self.assertTrue(it.workers[step.worker].ready)
+            while any(not act.answered for act, _ in acts):
+                for step in it.tick(it.due()):
+                    if step.do in (Do.REJECT, Do.ABORT):
+                        finals[step.act.ivk] = finals.get(step.act.ivk, 0) + 1
+            self.assertEqual(set(finals.values()), {1}, seed)
+            self.assertEqual(len(finals), len(acts))
+
+
+class Trouble(unittest.TestCase):
+    def test_failures_in_a_row_suspend_and_a_trial_readmits(self):
+        for outcome in (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR):
+            it = front_end(4)
+            home = serve(it)
+            for n in range(2):
+                it.workers[home].warm["f"] = 10 * SECOND
+                act, steps = call(it, f"x{n}")
+                self.assertEqual(sent(steps), [home])
+                act.returned(MS, 0, outcome, MS)
+            self.assertNotEqual(sent(call(it, "y", 2 * MS)[1]), [home], outcome)
+            later = 5 * SECOND
+            worker = it.workers[home]
+            self.assertTrue(it.fit(worker, call(it, "z", later, "other")[0], later))
+            self.assertFalse(it.fit(worker, call(it, "o", later, "more", ONCE)[0], later))
+
+    def test_silent_worker_is_left_and_its_repeatable_calls_are_moved(self):
+        it = front_end(4)
+        home = serve(it)
+        act, steps = call(it, "b", 20 * MS, lanes=3)
+        self.assertEqual(sent(steps), [home])
+        steps = [step for _ in range(20) for step in it.tick(it.due())]
+        self.assertIn((Do.CANCEL, act), [(step.do, step.act) for step in steps])
+        again = act.returned(SECOND, 0, Outcome.CANCELLED, SECOND)
+        self.assertEqual(len(sent(again)), 1)
+        self.assertNotEqual(sent(again), [home])
+
+    def test_full_answers_shrink_the_limit_once_a_while(self):
+        it = front_end(1)
+        for n, limit in ((0, 0.85), (1, 0.85)):
+            act, _ = call(it, f"c{n}", SECOND + n * MS, fn=f"fn{n}")
+            act.returned(SECOND + n * MS, 0, Outcome.FULL, 0)
+            self.assertEqual(it.workers["w0"].limit, max(1.0, limit))
+
+    def test_lengthening_loads_mean_fewer_at_once(self):
+        it = front_end(8)
+        for n in range(30):
+            took = SECOND if n < 10 else 5 * SECOND
+            serve(it, f"fn{n}", n * SECOND, took=took, copy=Copy.BEGAN)
+        self.assertLess(it.load_limit, 4.0)
+
+    def test_calls_beyond_a_share_get_less_room(self):
+        it = front_end(2, front_ends=1, tenants=(Tenant("t", 1.0, 10.0),))
+        spare = [it.take(n * MS, str(n), AGAIN.value, "f", SECOND, tenant="t").spare for n in range(20)]
+        self.assertEqual(spare, [False] * 13 + [True] * 7)
+        self.assertFalse(it.take(5 * SECOND, "later", AGAIN.value, "f", SECOND, tenant="t").spare)
+
+    def test_same_events_same_steps(self):
+        def run():
+            it = front_end(6, seed=7)
+            return [step[:1] + step[2:] for n in range(200)
+                    for act, steps in [call(it, str(n), n * MS, f"fn{n % 9}")]
+                    for step in steps + act.returned(n * MS, 0, Outcome.RESET, MS) if act.sends]
+        self.assertEqual(run(), run())
+
+    def test_streaming_answers_are_not_cut_at_the_deadline(self):
+        kind = NamespaceType("s", 600 * MS, SECOND, 1.0, 0.0, AGAIN, streaming=True)
+        it = front_end(types=(kind,))
+        act = it.take(0, "a", "s", "f", 100 * MS)
+        act.start(0)
+        act.streaming(MS, 0)
+        it.tick(SECOND)
+        self.assertFalse(act.answered)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -184,7 +184,7 @@
             self.version += 1
             self.mean_size = sum(worker.size for worker in fleet) / max(1, len(fleet))
             self.most_workers = max(self.most_workers, len(fleet))
-            self.load_limit = self.load_limit or float(len(fleet))
+            self.load_limit = self.load_limit or max(2.0, len(fleet))
         return []
 
     def order(self, fn: Function) -> list[Worker]:
@@ -226,10 +226,10 @@
 
     def beyond_share(self, tenant: str, now: int) -> bool:
         """Whether this call is more than our part of what its tenant may ask, a second's worth saved up."""
-        if tenant not in self.shares or max(self.paid.get(tenant, 0), now - SECOND) > now:
-            return tenant in self.shares
-        self.paid[tenant] = max(self.paid.get(tenant, 0), now - SECOND) + self.shares[tenant]
-        return False
+        paid = max(self.paid.get(tenant, now - SECOND), now - SECOND)
+        if tenant in self.shares and paid <= now:
+            self.paid[tenant] = paid + self.shares[tenant]
+        return paid > now
 
     def share(self, fn: Function) -> float:
         """Of recent calls, by the sketch; nothing on too few."""
@@ -278,7 +278,8 @@
         fn = act.fn
         order = self.order(fn)
         fit = [worker for worker in order if self.fit(worker, act, now)]
-        tried = [send.worker for send in act.sends]
+        # A copy heard of since that send, as by our order after a 'miss', makes a worker worth trying again.
+        tried = [send.worker for send in act.sends if send.worker.warm.get(fn.name, 0) <= send.at + self.keep]
         stops = [worker for worker in fit if worker not in tried] or fit
         if not stops:
             # Everything looks bad: a shared cause, so suspensions are set aside; cold workers stay guarded.
@@ -480,7 +481,7 @@
     def crowd(self, crowded: bool, now: int) -> None:
         """Store and loaders are shared by all: lengthening or failing loads mean fewer at once."""
         if not crowded:
-            self.load_limit = min(self.load_limit + 1 / self.load_limit, float(len(self.fleet)))
+            self.load_limit = min(self.load_limit + 1 / self.load_limit, max(2.0, len(self.fleet)))
         elif now - self.load_cut >= CUT_PAUSE:
             self.load_limit, self.load_cut = max(2.0, CUT * self.load_limit), now
 
