A worker's pace learns from sends given up on, and fades slower

Change: a send given up on counts with the time it had; one answer counts for at most the target latency; an unheard pace halves in 3 s. Guards against any worker that answers rarely.

--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -30,7 +30,7 @@
 PATIENCE = 4               # times the expected latency before a send is overdue; past 98% of exponential work
 EASE = 0.45                # share of the target latency that answers may take on average; a tenth is late
 FRESH = 0.15               # weight of the newest answer in a worker's pace
-PACE_FADE = 0.95           # what a round without an answer leaves of it: untried must not stay shunned
+PACE_FADE = 0.99           # what a round without an answer leaves of it; 3 s to half, then it is tried again
 FIRST_LIMIT = 4.0          # sends in flight at a worker before it has shown what it bears
 CUT = 0.85                 # what one cut leaves of a limit; gentle, as answers vary with the work itself
 CUT_PAUSE = 200 * MS       # between two cuts, so that one queue is answered once; a full worker rests so long
@@ -451,12 +451,9 @@
             self.done *= max(0.0, 1 - (now - self.done_at) / RATE_MEMORY)
             self.done, self.done_at = self.done + act.kind.units, now
             if copy is Copy.FOUND or (copy is Copy.UNTOLD and send.warm):
-                ratio = waited / max(1.0, self.expected(act))
-                worker.pace += FRESH * (act.kind.typical * ratio / act.kind.target - worker.pace)
+                ratio = self.pace(send, waited, now)
                 act.kind.typical *= 1 + 0.03 * (min(ratio, 4.0) - 1)
-                if worker.pace > EASE:
-                    self.ease(worker, now)
-                elif len(worker.sends) + 1 >= worker.limit:
+                if worker.pace <= EASE and len(worker.sends) + 1 >= worker.limit:
                     worker.limit += 1 / worker.limit if worker.cut else 1
             elif copy is Copy.BEGAN:
                 self.load_base *= 1 - 0.04 if waited < self.load_base else 1 + 0.02
@@ -465,6 +462,9 @@
                 for other in self.fleet if send.warm else ():
                     if other is not worker and other.warm.get(fn.name, 0) < send.at + self.keep:
                         other.warm.pop(fn.name, None)
+        elif outcome is Outcome.CANCELLED and send.warm and waited > self.expected(act):
+            # Given up on, it would have taken longer still: else a worker that seldom answers looks fast.
+            self.pace(send, waited, now)
         elif outcome is Outcome.FULL:
             worker.heard = now
             worker.full = now + CUT_PAUSE
@@ -478,6 +478,15 @@
         elif copy is not Copy.LOAD_FAILED and outcome in FAILED:
             self.strike(worker, now)
 
+    def pace(self, send: Send, waited: int, now: int) -> float:
+        """Notes what one send took, for its weight, and eases the worker; returns it over the expected."""
+        worker, kind = send.worker, send.act.kind
+        ratio = waited / max(1.0, self.expected(send.act))
+        worker.pace += FRESH * (min(1.0, kind.typical * ratio / kind.target) - worker.pace)
+        if worker.pace > EASE:
+            self.ease(worker, now)
+        return ratio
+
     def crowd(self, crowded: bool, now: int) -> None:
         """Store and loaders are shared by all: lengthening or failing loads mean fewer at once."""
         if not crowded:
