--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -19,8 +19,7 @@
 
 POINTS = 150               # ring points a worker; the design's figure, spreads homes within some 8%
 EPSILON = 0.25             # room above the mean in flight; middle of the design's 0.1 to 0.5
-SKETCH_WIDTH = 4096        # count-min cells a row; wide enough that some hundred functions hardly collide
-SKETCH_DEPTH = 4           # count-min rows; the write-up's figure
+SKETCH_WIDTH, SKETCH_DEPTH = 4096, 4       # count-min cells a row, rows; the write-up's figures
 SKETCH_WINDOW = 10 * SECOND    # after this the sketch resets; the design's figure
 HOT_SHARE = 0.05           # of recent calls; the design's threshold; twice it earns the second successor
 HOT_LEAST = 100            # calls below which nothing is called hot: five calls would be 5% of less
@@ -29,6 +28,7 @@
 LOAD_START = SECOND        # usual load time until one is seen or told
 PATIENCE = 4               # times the expected latency before a send is overdue; past 98% of exponential work
 EASE = 0.45                # share of the target latency that answers may take on average; a tenth is late
+TREND = 0.03               # weight of the newest in what is usual for a type or a load; some thirty answers
 FRESH = 0.15               # weight of the newest answer in a worker's pace
 PACE_FADE = 0.99           # what a round without an answer leaves of it; 3 s to half, then it is tried again
 FIRST_LIMIT = 4.0          # sends in flight at a worker before it has shown what it bears
@@ -36,10 +36,8 @@
 CUT_PAUSE = 200 * MS       # between two cuts, so that one queue is answered once; a full worker rests so long
 GROW = 1.0                 # sends a second by which each limit recovers
 STRIKES = 2                # failures in a row that suspend a worker; one may be chance
-SUSPEND = 500 * MS         # first suspension; about the time two more failures would take to notice
-SUSPEND_MOST = 8 * SECOND  # longest suspension; restarts seen take longer, cuts end sooner
-BUDGET_SHARE = 0.1         # further sends earned by each completed activation; bounds re-send storms
-BUDGET_MOST = 10.0         # further sends that may be saved up
+SUSPEND, SUSPEND_MOST = 500 * MS, 8 * SECOND   # first, longest suspension; a hiccup, most of a restart
+BUDGET_SHARE, BUDGET_MOST = 0.1, 10.0      # further sends earned by a completed one, saved up; bounds storms
 COLD_SAFETY = 0.8          # share of the stated cold budget that is spent; the rest is for chance
 RATE_MEMORY = 10 * SECOND  # memory of the rate of completed work
 SKEW = 1.2                 # our part of a tenant's share over an equal one: halls are not equally busy
@@ -50,6 +48,7 @@
 FORGET = 60 * SECOND       # a function unasked for so long is forgotten, to bound memory
 
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT, Outcome.MISS)
+ANSWERED = (Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL, Outcome.MISS)
 FAILED = (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR)
 
 
@@ -71,12 +70,13 @@
 class Function:
     """A function, its place on the ring and its turn in a round-robin."""
 
-    def __init__(self, name: str, lanes: int, part: int, load: int):
-        self.name, self.lanes, self.part, self.load = name, lanes, part, load     # part: ours of its lanes
+    def __init__(self, name: str, lanes: int, front_ends: int, load: int):
+        self.name, self.lanes, self.load = name, lanes, load
+        self.part = max(1, lanes // front_ends)     # ours of its lanes
         self.at = point(name)
         self.cells = [(self.at >> 32 * row) % SKETCH_WIDTH for row in range(SKETCH_DEPTH)]
-        self.order: list[Worker] = []
-        self.version, self.turn, self.asked, self.pause = -1, 0, 0, 0     # pause: no load order before it
+        self.order: list[Worker] = []           # its walk, until the ring changes
+        self.turn = self.asked = self.pause = 0     # pause: no load order before it
         self.parked: deque[Activation] = deque()    # waiting here for a load under way
 
 
@@ -116,7 +116,7 @@
         self.kinds = {each.name: Kind(each) for each in told.types}
         self.margin = 2 * told.tick
         self.max_sends, self.may_cancel, self.may_twice = told.max_sends, told.may_cancel, told.may_duplicate
-        self.advice, self.keep, self.on_miss_loads = told.longest_advice, told.idle_keep, told.loads_on_miss
+        self.advice, self.keep, self.loads_itself = told.longest_advice, told.idle_keep, told.loads_on_miss
         self.load_window, self.load_ratio = told.load_window or 1, told.load_ratio
         self.load_free = -1.0 if not told.may_order else told.load_free if told.load_window else float("inf")
         self.cold_share, self.cold_time, self.fall_time = told.cold_share, told.cold_time, told.fall_time
@@ -127,7 +127,7 @@
         self.workers: dict[str, Worker] = {}
         self.fleet: list[Worker] = []           # workers on the ring
         self.ring: list[tuple[int, Worker]] = []
-        self.version = self.most_workers = 0
+        self.most_workers = 0
         self.functions: dict[str, Function] = {}
         # The window before is kept: with a reset's few counts all would look hot.
         self.sketch, self.before = ([[0] * SKETCH_WIDTH for _ in range(SKETCH_DEPTH)] for _ in range(2))
@@ -181,7 +181,8 @@
             self.fleet = fleet
             self.ring = sorted(((at, worker) for worker in fleet for at in worker.points),
                                key=lambda each: each[0])
-            self.version += 1
+            for fn in self.functions.values():
+                fn.order = []
             self.mean_size = sum(worker.size for worker in fleet) / max(1, len(fleet))
             self.most_workers = max(self.most_workers, len(fleet))
             self.load_limit = self.load_limit or max(2.0, len(fleet))
@@ -189,21 +190,18 @@
 
     def order(self, fn: Function) -> list[Worker]:
         """Distinct workers clockwise from the function's hash."""
-        if fn.version != self.version:
+        if not fn.order and self.ring:
             start = bisect.bisect(self.ring, fn.at, key=lambda each: each[0])
             fn.order = list(dict.fromkeys(
                 self.ring[(start + i) % len(self.ring)][1] for i in range(len(self.ring))))
-            fn.version = self.version
         return fn.order
 
     # Taking, placing
 
     def take(self, now: int, ivk: str, type_name: str, fn_name: str, left: int, *, tenant: str = "",
              work: int = 0, lanes: int = 1, load_time: int = 0, again: bool = False) -> Activation:
-        fn = self.functions.get(fn_name)
-        if fn is None:
-            part = max(1, lanes // self.front_ends)
-            fn = self.functions[fn_name] = Function(fn_name, max(1, lanes), part, load_time)
+        fn = self.functions.get(fn_name) or Function(fn_name, max(1, lanes), self.front_ends, load_time)
+        self.functions[fn_name] = fn
         fn.asked = now
         if now >= self.window_ends:
             self.before, self.seen_before = self.sketch, self.seen
@@ -213,11 +211,9 @@
         for row, cell in zip(self.sketch, fn.cells, strict=True):
             row[cell] += 1
         self.took.append(now)
-        while self.took[0] <= now - self.load_window:
-            self.took.popleft()
         kind = self.kinds[type_name]
         if work:
-            kind.work += 0.02 * (work - kind.work) if kind.work else work
+            kind.work += TREND * (work - kind.work) if kind.work else work
             kind.units = kind.work / SECOND
         act = Activation(self, ivk, kind, fn, now + max(0, left - self.margin), work,
                          again or self.beyond_share(tenant, now))
@@ -261,9 +257,8 @@
         while worker.spent and worker.spent[0][0] <= now - self.fall_time:
             worker.spent.popleft()
         able = self.cold_share + (1 - self.cold_share) * self.age(worker, now)
-        rate = self.done / (RATE_MEMORY / SECOND) / max(1, self.most_workers)
-        return not worker.spent or (
-            sum(work for _, work in worker.spent) + act.kind.units <= self.cold_factor * able * rate)
+        budget = self.cold_factor * able * self.done / (RATE_MEMORY / SECOND) / max(1, self.most_workers)
+        return not worker.spent or sum(work for _, work in worker.spent) + act.kind.units <= budget
 
     def fit(self, worker: Worker, act: Activation, now: int) -> bool:
         return max(worker.until, worker.full) <= now and self.cold_room(worker, act, now) and (
@@ -287,8 +282,7 @@
         home = stops[0]
         share = self.share(fn)
         if share > HOT_SHARE:
-            group = stops[:2 if share < 2 * HOT_SHARE else 3]
-            fn.turn += 1
+            group, fn.turn = stops[:2 if share < 2 * HOT_SHARE else 3], fn.turn + 1
             shift = fn.turn % len(group)
             stops = group[shift:] + group[:shift] + stops[len(group):]
         first = stops[0]
@@ -303,34 +297,36 @@
             if len(fn.parked) < PARKED * fn.lanes and not act.spare:
                 fn.parked.append(act)
             return None
-        settled = self.age(home, now) >= 1
         heft = max(1.0, self.expected(act) / act.kind.typical)      # heavy calls bear less company
         for worker in warm:
             if act.spare:
                 if len(worker.sends) < SPARE * worker.limit and worker.pace <= SPARE * EASE:
                     return worker
-            elif self.room(worker, now, heft) or (
-                    worker is home and settled and worker.pace * heft <= EASE and
-                    worker.calls(fn) < min(fn.part, worker.limit)):
+            elif worker.calls(fn) < fn.part and (self.room(worker, now, heft) or (
+                    worker is home and self.age(home, now) >= 1 and worker.pace * heft <= EASE and
+                    len(worker.sends) < worker.limit)):
                 chosen = worker
                 break
         else:
             if act.spare:
                 return None
+            first = next((worker for worker in stops if worker not in warm and self.room(worker, now)), first)
             able = [worker for worker in warm if len(worker.sends) < worker.limit]
             chosen = min(able, key=lambda worker: len(worker.sends) / worker.limit, default=None) or next(
                 (worker for worker in stops if self.room(worker, now)), None)
-            first = next((worker for worker in stops if worker not in warm and self.room(worker, now)), first)
+            # Beyond our part of the lanes a worker would start a copy that few calls use: wait here instead.
+            if len(fn.parked) < fn.lanes and any(worker.calls(fn) for worker in warm):
+                fn.parked.append(act)
+                chosen = None
         if first not in warm and chosen is not first and self.room(first, now):
             self.hold(first, fn, now)
         return chosen
 
     def hold(self, worker: Worker, fn: Function, now: int) -> bool:
         """Every load order passes here: rationed by rule, paced by us, one a function at a time."""
-        while self.ordered and self.ordered[0] <= now - self.load_window:
-            self.ordered.popleft()
-        while self.took and self.took[0] <= now - self.load_window:
-            self.took.popleft()
+        for times in (self.ordered, self.took):
+            while times and times[0] <= now - self.load_window:
+                times.popleft()
         if not worker.ready or fn.pause > now or self.orders + self.cold_out >= self.load_limit / 2 or (
                     len(self.ordered) + 1 > self.load_free + self.load_ratio * len(self.took)):
             return False
@@ -387,10 +383,10 @@
         cost = 0
         if act.sends and worker is not None:
             cost = bool(act.risky) + (worker.warm.get(act.fn.name, 0) <= now)
-        if worker is None or self.budget < cost or not self.send(act, worker, now):
-            self.give_up(act, now)
-        else:
+        if worker is not None and self.budget >= cost and self.send(act, worker, now):
             self.budget -= cost
+        elif not act.out:
+            self.give_up(act, now)
 
     def wake(self, fn: Function | None, now: int) -> None:
         """Two of those parked go on for each answer, so that a fresh copy is not flooded at once."""
@@ -434,29 +430,29 @@
             self.close(act, None)
         if act.answered or act.out or act.begun:
             return
-        if outcome is Outcome.MISS and not self.on_miss_loads and copy is not Copy.LOAD_FAILED and (
+        if outcome is Outcome.MISS and not self.loads_itself and copy is not Copy.LOAD_FAILED and (
                 self.hold(worker, fn, now) or fn.name in worker.loads):
             fn.parked.append(act)
-            return
-        self.go_on(act, now)
+        else:
+            self.go_on(act, now)
 
     def learn(self, send: Send, now: int, outcome: Outcome, waited: int, copy: Copy) -> None:
         worker, act, fn = send.worker, send.act, send.act.fn
-        if outcome is Outcome.COMPLETED:
+        if outcome in ANSWERED:
             worker.heard = now
-            worker.strikes = worker.suspensions = 0
-            worker.trial = False
+        if outcome is Outcome.COMPLETED:
+            worker.strikes, worker.suspensions, worker.trial = 0, 0, False
             worker.warm[fn.name] = now + self.keep
             self.budget = min(BUDGET_MOST, self.budget + BUDGET_SHARE)
             self.done *= max(0.0, 1 - (now - self.done_at) / RATE_MEMORY)
             self.done, self.done_at = self.done + act.kind.units, now
             if copy is Copy.FOUND or (copy is Copy.UNTOLD and send.warm):
                 ratio = self.pace(send, waited, now)
-                act.kind.typical *= 1 + 0.03 * (min(ratio, 4.0) - 1)
+                act.kind.typical *= 1 + TREND * (min(ratio, PATIENCE) - 1)
                 if worker.pace <= EASE and len(worker.sends) + 1 >= worker.limit:
                     worker.limit += 1 / worker.limit if worker.cut else 1
             elif copy is Copy.BEGAN:
-                self.load_base *= 1 - 0.04 if waited < self.load_base else 1 + 0.02
+                self.load_base *= 1 - TREND if waited < self.load_base else 1 + TREND / 2
                 self.crowd(waited > CROWDED * self.load_base, now)
                 # Gone where we believed it stood: a release or a squeeze. Older beliefs on it are no better.
                 for other in self.fleet if send.warm else ():
@@ -466,14 +462,12 @@
             # Given up on, it would have taken longer still: else a worker that seldom answers looks fast.
             self.pace(send, waited, now)
         elif outcome is Outcome.FULL:
-            worker.heard = now
             worker.full = now + CUT_PAUSE
             worker.pace += FRESH * (1.0 - worker.pace)
             self.ease(worker, now)
             if not send.warm:
                 self.crowd(True, now)
         elif outcome is Outcome.MISS:
-            worker.heard = now
             worker.warm.pop(fn.name, None)
         elif copy is not Copy.LOAD_FAILED and outcome in FAILED:
             self.strike(worker, now)
@@ -507,8 +501,7 @@
             return
         length = min(SUSPEND_MOST, SUSPEND << min(worker.suspensions, 8))
         worker.until = now + int(length * (0.75 + 0.5 * self.chance()))
-        worker.suspensions += 1
-        worker.trial = True
+        worker.suspensions, worker.trial = worker.suspensions + 1, True
         worker.warm.clear()
 
     def patience(self, send: Send) -> float:
@@ -540,8 +533,7 @@
                 self.budget < 1 or act.due <= now or len(act.sends) >= self.max_sends):
             return
         if self.may_twice:
-            worker = self.place(act, now)
-            if worker is not None and self.send(act, worker, now):
-                self.budget -= 1
+            act.risky.append(send)      # it may be running, so the second send is budgeted
+            self.go_on(act, now)
         elif self.may_cancel:
             self.out.append(Step(Do.CANCEL, act, send.worker.name, amount=send.number))
