Walks past pressed warm stops load only within the half kept for widening

Change: such a walk, like a load order, needs the loads out to be under half of what is borne at once; the other half is left to functions with no copy. Guards the store after any loss of workers; harm: a pressed function widens later.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -248,6 +248,26 @@
             serve(it, f"fn{n}", n * SECOND, took=took, copy=Copy.BEGAN)
         self.assertLess(it.load_limit, 4.0)
 
+    def test_pressed_warm_stops_widen_only_within_half_of_the_loads(self):
+        # loads under way, of four borne at once; whether a call past its warm stop's limit starts one more
+        for out, widened in ((0, True), (1, True), (2, False), (4, False)):
+            it = front_end(4)
+            home = it.workers[serve(it)]
+            home.limit, it.cold_out, it.load_limit = 0.0, out, 4.0
+            self.assertEqual(len(sent(call(it, "b", SECOND)[1])) == 1, widened, out)
+
+    def test_a_rarely_heard_slow_worker_does_not_look_fast(self):
+        it = front_end(1)
+        home = it.workers[serve(it)]
+        for n in range(1, 7):
+            now = n * SECOND
+            home.warm["f"], home.until, home.trial = 100 * SECOND, 0, False
+            act, _ = call(it, f"c{n}", now, left=500 * MS)
+            while not act.answered:
+                it.tick(it.due())
+            act.returned(now + 500 * MS, 0, Outcome.CANCELLED, 500 * MS)
+        self.assertGreater(home.pace, 0.3)     # 0.18 with a fade of half in 0.7 s
+
     def test_calls_beyond_a_share_get_less_room(self):
         it = front_end(2, front_ends=1, tenants=(Tenant("t", 1.0, 10.0),))
         spare = [it.take(n * MS, str(n), AGAIN.value, "f", SECOND, tenant="t").spare for n in range(20)]
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -48,7 +48,6 @@
 FORGET = 60 * SECOND       # a function unasked for so long is forgotten, to bound memory
 
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT, Outcome.MISS)
-ANSWERED = (Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL, Outcome.MISS)
 FAILED = (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR)
 
 
@@ -201,8 +200,7 @@
     def take(self, now: int, ivk: str, type_name: str, fn_name: str, left: int, *, tenant: str = "",
              work: int = 0, lanes: int = 1, load_time: int = 0, again: bool = False) -> Activation:
         fn = self.functions.get(fn_name) or Function(fn_name, max(1, lanes), self.front_ends, load_time)
-        self.functions[fn_name] = fn
-        fn.asked = now
+        self.functions[fn_name], fn.asked = fn, now
         if now >= self.window_ends:
             self.before, self.seen_before = self.sketch, self.seen
             self.sketch, self.seen = [[0] * SKETCH_WIDTH for _ in range(SKETCH_DEPTH)], 0
@@ -313,7 +311,7 @@
             first = next((worker for worker in stops if worker not in warm and self.room(worker, now)), first)
             able = [worker for worker in warm if len(worker.sends) < worker.limit]
             chosen = min(able, key=lambda worker: len(worker.sends) / worker.limit, default=None) or next(
-                (worker for worker in stops if self.room(worker, now)), None)
+                (worker for worker in stops if self.room(worker, now) and self.may_widen()), None)
             # Beyond our part of the lanes a worker would start a copy that few calls use: wait here instead.
             if len(fn.parked) < fn.lanes and any(worker.calls(fn) for worker in warm):
                 fn.parked.append(act)
@@ -322,12 +320,16 @@
             self.hold(first, fn, now)
         return chosen
 
+    def may_widen(self) -> bool:
+        """Half of the loads borne at once is left to functions that no copy stands for."""
+        return self.orders + self.cold_out < self.load_limit / 2
+
     def hold(self, worker: Worker, fn: Function, now: int) -> bool:
         """Every load order passes here: rationed by rule, paced by us, one a function at a time."""
         for times in (self.ordered, self.took):
             while times and times[0] <= now - self.load_window:
                 times.popleft()
-        if not worker.ready or fn.pause > now or self.orders + self.cold_out >= self.load_limit / 2 or (
+        if not worker.ready or fn.pause > now or not self.may_widen() or (
                     len(self.ordered) + 1 > self.load_free + self.load_ratio * len(self.took)):
             return False
         worker.loads[fn.name] = now
@@ -380,9 +382,8 @@
         if act.fn.parked and act.fn.parked[-1] is act:
             return
         # Work done again, and load after load begun on one walk, would feed a storm: both are budgeted.
-        cost = 0
-        if act.sends and worker is not None:
-            cost = bool(act.risky) + (worker.warm.get(act.fn.name, 0) <= now)
+        cost = 0 if worker is None or not act.sends else (
+            bool(act.risky) + (worker.warm.get(act.fn.name, 0) <= now))
         if worker is not None and self.budget >= cost and self.send(act, worker, now):
             self.budget -= cost
         elif not act.out:
@@ -438,7 +439,7 @@
 
     def learn(self, send: Send, now: int, outcome: Outcome, waited: int, copy: Copy) -> None:
         worker, act, fn = send.worker, send.act, send.act.fn
-        if outcome in ANSWERED:
+        if outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
             worker.heard = now
         if outcome is Outcome.COMPLETED:
             worker.strikes, worker.suspensions, worker.trial = 0, 0, False
