Pressed stops take no call that their pace says will be late

Change: past the walk, a warm stop is taken only if its pace times the call's weight stays within the target latency; acts where hints are told. Harm: a heavy call that would still earn its late utility is refused.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -256,6 +256,15 @@
             home.limit, it.cold_out, it.load_limit = 0.0, out, 4.0
             self.assertEqual(len(sent(call(it, "b", SECOND)[1])) == 1, widened, out)
 
+    def test_pressed_stops_take_no_call_bound_to_be_late(self):
+        # cost hint over the usual, pace of the one warm stop, whether a call is sent there all the same
+        for weight, pace, taken in ((1, 0.5, True), (4, 0.5, False), (4, 0.3, True)):
+            it = front_end(1, front_ends=1)
+            home = it.workers[serve(it, work=100 * MS)]
+            home.pace, home.limit, it.load_limit = pace, 9.0, 0.0
+            steps = call(it, "b", SECOND, lanes=2, work=weight * 100 * MS)[1]
+            self.assertEqual(does(steps), [Do.SEND if taken else Do.REJECT], (weight, pace))
+
     def test_a_rarely_heard_slow_worker_does_not_look_fast(self):
         it = front_end(1)
         home = it.workers[serve(it)]
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -309,7 +309,7 @@
             if act.spare:
                 return None
             first = next((worker for worker in stops if worker not in warm and self.room(worker, now)), first)
-            able = [worker for worker in warm if len(worker.sends) < worker.limit]
+            able = [each for each in warm if len(each.sends) < each.limit and each.pace * heft <= 1]
             chosen = min(able, key=lambda worker: len(worker.sends) / worker.limit, default=None) or next(
                 (worker for worker in stops if self.room(worker, now) and self.may_widen()), None)
             # Beyond our part of the lanes a worker would start a copy that few calls use: wait here instead.
