Weigh utility under pressure

Change: past the walk, a warm stop is taken only if its pace times the call's weight stays under the part of the target that the type's utility is of the highest. Acts with types of differing utility, and on heavy calls where hints are told; harm: a single type of low utility that is most of the traffic is refused earlier on a pressed fleet.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -265,6 +265,17 @@
             steps = call(it, "b", SECOND, lanes=2, work=weight * 100 * MS)[1]
             self.assertEqual(does(steps), [Do.SEND if taken else Do.REJECT], (weight, pace))
 
+    def test_under_pressure_less_utility_needs_a_calmer_worker(self):
+        # pace of the one warm stop, utility asked for, whether it is sent
+        for pace, name, taken in ((0.7, "dear", True), (0.7, "cheap", False), (0.48, "cheap", True)):
+            kinds = tuple(NamespaceType(kind, 600 * MS, 2500 * MS, worth, 0.3, AGAIN)
+                          for kind, worth in (("cheap", 1.0), ("dear", 2.0)))
+            it = front_end(1, types=kinds)
+            home = it.workers["w0"]
+            home.pace, home.limit, it.load_limit, home.warm["f"] = pace, 9.0, 0.0, 10 * SECOND
+            act = it.take(SECOND, "a", name, "f", SECOND)
+            self.assertEqual(does(act.start(SECOND)), [Do.SEND if taken else Do.REJECT], (pace, name))
+
     def test_a_rarely_heard_slow_worker_does_not_look_fast(self):
         it = front_end(1)
         home = it.workers[serve(it)]
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -58,12 +58,12 @@
 class Kind:
     """A namespace type as decisions use it, with what its activations have been seen to take."""
 
-    def __init__(self, told: NamespaceType):
+    def __init__(self, told: NamespaceType, best: float):
         self.target, self.effect = told.target_latency, told.effect
         self.group, self.span = told.group, told.memory_span
         self.typical = TYPICAL_START * told.target_latency      # ns from send to answer, copy standing
-        self.work = 0.0                                         # mean cost hint
-        self.units = 1.0                                        # what a call weighs: that hint in s, if any
+        self.grade = told.utility / best                        # over that of the type worth most
+        self.work, self.units = 0.0, 1.0        # mean cost hint; what a call weighs: that hint in s, if any
 
 
 class Function:
@@ -112,7 +112,8 @@
 
     def __init__(self, seed: int, told: Deployment, now: int):
         self.chance = random.Random(seed).random
-        self.kinds = {each.name: Kind(each) for each in told.types}
+        best = max((each.utility for each in told.types), default=0.0) or 1.0
+        self.kinds = {each.name: Kind(each, best) for each in told.types}
         self.margin = 2 * told.tick
         self.max_sends, self.may_cancel, self.may_twice = told.max_sends, told.may_cancel, told.may_duplicate
         self.advice, self.keep, self.loads_itself = told.longest_advice, told.idle_keep, told.loads_on_miss
@@ -277,8 +278,7 @@
         if not stops:
             # Everything looks bad: a shared cause, so suspensions are set aside; cold workers stay guarded.
             return next((worker for worker in order if self.cold_room(worker, act, now)), None)
-        home = stops[0]
-        share = self.share(fn)
+        home, share = stops[0], self.share(fn)
         if share > HOT_SHARE:
             group, fn.turn = stops[:2 if share < 2 * HOT_SHARE else 3], fn.turn + 1
             shift = fn.turn % len(group)
@@ -309,7 +309,7 @@
             if act.spare:
                 return None
             first = next((worker for worker in stops if worker not in warm and self.room(worker, now)), first)
-            able = [each for each in warm if len(each.sends) < each.limit and each.pace * heft <= 1]
+            able = [one for one in warm if len(one.sends) < one.limit and one.pace * heft <= act.kind.grade]
             chosen = min(able, key=lambda worker: len(worker.sends) / worker.limit, default=None) or next(
                 (worker for worker in stops if self.room(worker, now) and self.may_widen()), None)
             # Beyond our part of the lanes a worker would start a copy that few calls use: wait here instead.
