Tidy: one place for a belief on warmth, one for the load window, which no longer grows

The test for a believed copy stood in four places and is now Worker.holds; the trimming of the load window is Dispatcher.recent. It is also called as activations are taken: where load orders were rare, the times of activations piled up without bound. A check for no due time, which cannot happen, is gone from the adapter.

--- a/threadshift/adapter/host.py
+++ b/threadshift/adapter/host.py
@@ -132,8 +132,7 @@
         return self.closed(act, act.start(now))
 
     def verdict(self, event: Fields, now: int) -> list[Step]:
-        name = event.text("id")
-        act = self.acts.get(name)
+        act = self.acts.get(event.text("id"))
         if act is None:
             return []
         return self.closed(act, act.returned(
@@ -166,11 +165,11 @@
 
     def settle(self, now: int) -> list[str]:
         """After a batch: keep the one reminder that is wanted."""
-        due = self.dispatcher.due()
-        if due is None or (self.reminder is not None and self.reminder <= max(due, now)):
+        due = max(self.dispatcher.due(), now)
+        if self.reminder is not None and self.reminder <= due:
             return []
         self.handle += 1
-        self.reminder = max(due, now)
+        self.reminder = due
         return [line("REMIND", i=self.number, handle=self.handle,
                      **{"in": to_ms(min(self.reminder - now, LONGEST_REMINDER))})]
 
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -100,6 +100,9 @@
         self.pace = 0.0                         # its usual latency with a copy standing, over the target
         self.limit, self.cut = FIRST_LIMIT, 0   # sends in flight that it bears; last cut, 0 before any
 
+    def holds(self, fn: Function, when: int) -> bool:
+        return self.warm.get(fn.name, 0) > when
+
     def loading(self, fn: Function) -> bool:
         return fn.name in self.loads or self.calls(fn) > 0
 
@@ -135,8 +138,7 @@
         self.window_ends, self.next_round = now + SKETCH_WINDOW, now + ROUND
         self.budget = BUDGET_MOST / 2
         self.done, self.done_at = 0.0, now      # completed work, fading
-        self.took: deque[int] = deque()         # times of activations, within the load window
-        self.ordered: deque[int] = deque()      # times of load orders, within it
+        self.took, self.ordered = deque(), deque()  # times of activations and load orders in the window
         self.orders = self.cold_out = 0         # out: load orders, and sends with no copy believed there
         self.load_limit, self.load_cut = 0.0, 0     # how many of both the store bears; last cut
         self.load_base = float(LOAD_START)      # a load's time when the store is at ease
@@ -179,8 +181,7 @@
         fleet = [worker for worker in self.workers.values() if worker.ready]
         if fleet != self.fleet:
             self.fleet = fleet
-            self.ring = sorted(((at, worker) for worker in fleet for at in worker.points),
-                               key=lambda each: each[0])
+            self.ring = sorted(((at, one) for one in fleet for at in one.points), key=lambda pair: pair[0])
             for fn in self.functions.values():
                 fn.order = []
             self.mean_size = sum(worker.size for worker in fleet) / max(1, len(fleet))
@@ -210,6 +211,7 @@
         for row, cell in zip(self.sketch, fn.cells, strict=True):
             row[cell] += 1
         self.took.append(now)
+        self.recent(self.took, now)     # orders may be rare: without this the times would pile up
         kind = self.kinds[type_name]
         if work:
             kind.work += TREND * (work - kind.work) if kind.work else work
@@ -229,9 +231,8 @@
     def share(self, fn: Function) -> float:
         """Of recent calls, by the sketch; nothing on too few."""
         total = self.seen + self.seen_before
-        return 0.0 if total < HOT_LEAST else min(
-            now[cell] + old[cell] for now, old, cell in zip(
-                self.sketch, self.before, fn.cells, strict=True)) / total
+        return 0.0 if total < HOT_LEAST else min(now[cell] + old[cell] for now, old, cell in zip(
+            self.sketch, self.before, fn.cells, strict=True)) / total
 
     def expected(self, act: Activation) -> float:
         """Usual latency of such a call where a copy stands."""
@@ -273,7 +274,7 @@
         order = self.order(fn)
         fit = [worker for worker in order if self.fit(worker, act, now)]
         # A copy heard of since that send, as by our order after a 'miss', makes a worker worth trying again.
-        tried = [send.worker for send in act.sends if send.worker.warm.get(fn.name, 0) <= send.at + self.keep]
+        tried = [send.worker for send in act.sends if not send.worker.holds(fn, send.at + self.keep)]
         stops = [worker for worker in fit if worker not in tried] or fit
         if not stops:
             # Everything looks bad: a shared cause, so suspensions are set aside; cold workers stay guarded.
@@ -284,7 +285,7 @@
             shift = fn.turn % len(group)
             stops = group[shift:] + group[:shift] + stops[len(group):]
         first = stops[0]
-        warm = [worker for worker in stops if worker.warm.get(fn.name, 0) > now]
+        warm = [worker for worker in stops if worker.holds(fn, now)]
         if not warm:
             coming = next((worker for worker in stops if worker.loading(fn)), None)
             if coming is None and self.orders + self.cold_out < self.load_limit:
@@ -324,13 +325,15 @@
         """Half of the loads borne at once is left to functions that no copy stands for."""
         return self.orders + self.cold_out < self.load_limit / 2
 
+    def recent(self, times: deque[int], now: int) -> int:
+        while times and times[0] <= now - self.load_window:
+            times.popleft()
+        return len(times)
+
     def hold(self, worker: Worker, fn: Function, now: int) -> bool:
         """Every load order passes here: rationed by rule, paced by us, one a function at a time."""
-        for times in (self.ordered, self.took):
-            while times and times[0] <= now - self.load_window:
-                times.popleft()
-        if not worker.ready or fn.pause > now or not self.may_widen() or (
-                    len(self.ordered) + 1 > self.load_free + self.load_ratio * len(self.took)):
+        given, earned = self.recent(self.ordered, now), self.load_ratio * self.recent(self.took, now)
+        if not worker.ready or fn.pause > now or not self.may_widen() or given + 1 > self.load_free + earned:
             return False
         worker.loads[fn.name] = now
         fn.pause = now + HOLD_PAUSE
@@ -363,7 +366,7 @@
         """Every send passes here."""
         if not self.may_send(act, worker, now):
             return False
-        send = Send(act, len(act.sends), worker, now, worker.warm.get(act.fn.name, 0) > now)
+        send = Send(act, len(act.sends), worker, now, worker.holds(act.fn, now))
         act.sends.append(send)
         act.out += 1
         worker.sends[send] = None
@@ -382,8 +385,7 @@
         if act.fn.parked and act.fn.parked[-1] is act:
             return
         # Work done again, and load after load begun on one walk, would feed a storm: both are budgeted.
-        cost = 0 if worker is None or not act.sends else (
-            bool(act.risky) + (worker.warm.get(act.fn.name, 0) <= now))
+        cost = bool(act.risky) + (not worker.holds(act.fn, now)) if worker and act.sends else 0
         if worker is not None and self.budget >= cost and self.send(act, worker, now):
             self.budget -= cost
         elif not act.out:
