Group stops count as warm by others' calls, strict turns, and load reports bound walks

Workers told 15 to 25 waiting while others told none, and reports were unread.

Change: where a front end makes at most one call a stop within the time an idle copy stays, and the others by its share at least three, the group's stops count as warm and the turn alone decides. A report of the last 3 s with over twice the usual waiting (else held) makes a worker one to walk past. Also guards against slow or small workers and crowded homes; harm: a late report keeps a worker passed over for 3 s. State records moved to state.py, which decides nothing.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -63,7 +63,8 @@
             it = front_end(workers, front_ends=3 if workers < 20 else 100)
             for n in range(seen):
                 it.take(n * MS, str(n), AGAIN.value, "f" if n < own else f"other{n}", SECOND)
-            self.assertEqual(it.width(it.functions["f"], it.kinds[AGAIN.value]), stops, (workers, seen, own))
+            it.spread(it.functions["f"], it.kinds[AGAIN.value], SECOND)
+            self.assertEqual(it.functions["f"].width, stops, (workers, seen, own))
 
     def test_warm_stop_before_a_cold_home_and_an_order_for_home(self):
         it = front_end(4)
@@ -297,7 +298,7 @@
         home = it.workers[serve(it)]
         for n in range(1, 7):
             now = n * SECOND
-            home.warm["f"], home.until, home.trial = 100 * SECOND, 0, False
+            home.warm["f"], home.until, home.suspensions = 100 * SECOND, 0, 0
             act, _ = call(it, f"c{n}", now, left=500 * MS)
             while not act.answered:
                 it.tick(it.due())
--- a/threadshift/adapter/host.py
+++ b/threadshift/adapter/host.py
@@ -15,6 +15,7 @@
     Listing,
     NamespaceType,
     Outcome,
+    Report,
     State,
     Step,
     Tenant,
@@ -76,6 +77,19 @@
                    row.number("powerHint", 1.0))
 
 
+def report(event: Fields) -> Report | None:
+    """The load report that came along, if any; values that it doesn't tell, or not as numbers, are None."""
+    told = {}
+    for part in event.text("usage", "").split(","):
+        name, _, value = part.partition(":")
+        try:
+            told[name] = float(value)
+        except ValueError:
+            continue
+    return Report(told.get("backlog"), told.get("outstanding"), told.get("utilization"),
+                  told.get("x1")) if told else None
+
+
 def outcome(event: Fields) -> Outcome:
     return event.read("outcome", lambda text: OUTCOMES[int(text)])
 
@@ -137,7 +151,8 @@
             return []
         return self.closed(act, act.returned(
             now, event.whole("go"), outcome(event), event.ns("waitTime", 0),
-            copy=COPIES.get(event.whole("info", 0) % 8, Copy.UNTOLD), final=event.flag("final", False)))
+            copy=COPIES.get(event.whole("info", 0) % 8, Copy.UNTOLD), final=event.flag("final", False),
+            report=report(event)))
 
     def closed(self, act, steps: list[Step]) -> list[Step]:
         """The steps, with the handle let go once nothing more can come for it."""
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -3,7 +3,7 @@
 Make a Dispatcher(seed, deployment, now) and call roster() with each list of workers. take() gives an
 Activation; call its start(), then returned() at each send's end and left() if the client quits. held() brings
 answers to load orders; tick() is wanted when due() has come. Each returns the Steps to carry out, in order.
-Interface: interface.py. The mechanism and each departure from it: docs/design.md.
+Interface: interface.py; what is remembered: state.py. Mechanism and departures from it: docs/design.md.
 """
 from __future__ import annotations
 
@@ -16,7 +16,8 @@
 from itertools import count, islice
 
 from threadshift.interface import (
-    MS, SECOND, Activation, Copy, Deployment, Do, Effect, Listing, NamespaceType, Outcome, Send, State, Step)
+    MS, SECOND, Activation, Copy, Deployment, Do, Effect, Listing, Outcome, Report, Send, State, Step)
+from threadshift.state import Function, Kind, Worker
 
 POINTS = 150               # ring points a worker; the design's figure, spreads homes within some 8%
 EPSILON = 0.25             # room above the mean in flight; middle of the design's 0.1 to 0.5
@@ -26,6 +27,8 @@
 SKETCH_PRIOR = 50          # calls of nothing added to the sketch's total, as few calls make chance look hot
 HOT_SHARE = 0.05           # of recent calls; the design's threshold; twice it earns the second successor
 SLICE, KNOWN = 0.25, 2.0   # of a worker's mean load that a function brings to each stop; with one front end
+KEPT = 3.0                 # calls by others, within the time an idle copy stays, that are taken to keep one
+REPORT_KEEP, PRESSED = 3 * SECOND, 2.0     # how long a report counts; times the usual load that it may tell
 ROUND = 100 * MS           # period of the health round; a small part of any target latency in sight
 TYPICAL_START, LOAD_START = 0.25, SECOND   # until seen: usual share of the target latency, a load's time
 PATIENCE = 4               # times the expected latency before a send is overdue; past 98% of exponential work
@@ -53,73 +56,15 @@
     return int.from_bytes(digest[:8], "big"), int.from_bytes(digest[8:], "big")
 
 
-class Kind:
-    """A namespace type as decisions use it, with what its activations have been seen to take."""
-
-    def __init__(self, told: NamespaceType, best: float):
-        self.target, self.effect = told.target_latency, told.effect
-        self.group, self.span = told.group, told.memory_span
-        self.typical = TYPICAL_START * told.target_latency      # ns from send to answer, copy standing
-        self.grade = told.utility / best                        # over that of the type worth most
-        self.work, self.units = 0.0, 1.0        # mean cost hint; what a call weighs: that hint in s, if any
-
-
-class Function:
-    """A function, its place on the ring and its turn in a round-robin."""
-
-    def __init__(self, name: str, lanes: int, front_ends: int, load: int):
-        self.name, self.lanes, self.load = name, lanes, load
-        self.part = max(1, lanes // front_ends)     # ours of its lanes
-        self.at, spread = points(name)
-        self.cells = [(spread >> 16 * row) % SKETCH_WIDTH for row in range(SKETCH_DEPTH)]
-        self.stops: dict[Worker, None] = {}     # its walk as far as worked out
-        self.version = self.passed = 0          # of the ring: its version, the points that it took
-        self.turn = self.asked = self.pause = 0     # pause: about a load's time between orders, stop by stop
-        self.parked: deque[Activation] = deque()    # waiting here for a load under way
-
-
-class Worker:
-    """What one front end knows of a worker."""
-
-    def __init__(self, name: str):
-        self.name, self.zone, self.cell, self.size, self.since, self.ready = name, "", 0, 1.0, 0, False
-        self.points = [at for i in range(POINTS // 2) for at in points(f"{name}#{i}")]
-        self.sends: dict[Send, None] = {}       # ours in flight, oldest first
-        self.warm: dict[str, int] = {}          # function: a copy is believed to stand until then
-        self.loads: dict[str, int] = {}         # function: our load order out since
-        self.heard = self.settled = 0           # its last answer; limit and pace are brought up to then
-        self.restarted()
-
-    def restarted(self) -> None:        # what we knew of copies, pace and failures was another process's
-        self.warm.clear()
-        self.strikes = self.suspensions = self.until = 0    # failures in a row; suspended until then
-        self.pace = 0.0                         # its usual latency with a copy standing, over the target
-        self.limit, self.cut = FIRST_LIMIT, 0   # sends in flight that it bears; last cut, 0 before any
-        self.credit, self.earned = -1.0, 0      # work it may be sent while cold, -1 before any; earned until
-
-    def settle(self, now: int) -> None:
-        passed, self.settled = now - self.settled, now
-        self.limit += GROW * passed / SECOND if self.cut else 0
-        if now - self.heard > ROUND and self.pace:
-            self.pace *= 0.5 ** (passed / PACE_HALF)
-
-    def holds(self, fn: Function, when: int) -> bool:
-        return self.warm.get(fn.name, 0) > when
-
-    def loading(self, fn: Function) -> bool:
-        return fn.name in self.loads or self.calls(fn) > 0
-
-    def calls(self, fn: Function) -> int:
-        return sum(send.act.fn is fn for send in self.sends)
-
-
 class Dispatcher:
     """One front end's decisions."""
 
     def __init__(self, seed: int, told: Deployment, now: int):
         self.chance = random.Random(seed).random
         best = max((each.utility for each in told.types), default=0.0) or 1.0
-        self.kinds = {each.name: Kind(each, best) for each in told.types}
+        self.kinds = {each.name: Kind(each.target_latency, each.effect, each.group, each.memory_span,
+                                      each.utility / best, TYPICAL_START * each.target_latency)
+                      for each in told.types}
         self.margin = 2 * told.tick
         self.max_sends, self.may_cancel, self.may_twice = told.max_sends, told.may_cancel, told.may_duplicate
         self.advice, self.keep, self.loads_itself = told.longest_advice, told.idle_keep, told.loads_on_miss
@@ -139,8 +84,10 @@
         self.sketch, self.before = (    # and the window before: with a reset's few counts all would look hot
             [[0] * SKETCH_WIDTH for _ in range(SKETCH_DEPTH)] for _ in range(2))
         self.window_ends, self.next_round, self.budget = now + SKETCH_WINDOW, now + ROUND, BUDGET_MOST / 2
+        self.counted = self.window_from = now   # since when the sketches count, since when the newer one does
         self.done, self.done_at = 0.0, now      # completed work, fading
         self.took, self.ordered = deque(), deque()  # times of activations and load orders in the window
+        self.mean_load = 0.0                    # usual load in reports, for a worker of mean size
         self.orders = self.cold_out = 0         # out: load orders, and sends with no copy believed there
         # How many of both the store bears; last cut; a load's time when the store is at ease.
         self.load_limit, self.load_cut, self.load_base = 0.0, 0, float(LOAD_START)
@@ -168,13 +115,18 @@
         for worker in self.workers.values() if full else ():
             worker.ready = False
         for told in listings:
-            worker = self.workers.get(told.worker) or Worker(told.worker)
-            self.workers[told.worker] = worker
+            worker = self.workers.get(told.worker)
+            if worker is None:
+                worker = self.workers[told.worker] = Worker(told.worker, [
+                    at for i in range(POINTS // 2) for at in points(f"{told.worker}#{i}")], limit=FIRST_LIMIT)
             worker.zone, worker.cell, worker.size = told.zone, told.cell, max(told.size, 0.01)
             worker.ready = told.state is State.READY
             if told.since > worker.since:
                 worker.since = told.since
-                worker.restarted()
+                # What we knew of copies, pace and failures was another process's.
+                worker.warm.clear()
+                worker.strikes = worker.suspensions = worker.until = worker.cut = 0
+                worker.pace, worker.limit, worker.credit, worker.told = 0.0, FIRST_LIMIT, -1.0, 0
         self.fleet = [worker for worker in self.workers.values() if worker.ready]
         # Points of new workers are added, those of unready ones passed over: a ring made anew costs too much.
         added = [worker for worker in self.fleet if worker.points[0] not in self.owner]
@@ -205,10 +157,16 @@
 
     def take(self, now: int, ivk: str, type_name: str, fn_name: str, left: int, *, tenant: str = "",
              work: int = 0, lanes: int = 1, load_time: int = 0, again: bool = False) -> Activation:
-        fn = self.functions.get(fn_name) or Function(fn_name, max(1, lanes), self.front_ends, load_time)
-        self.functions[fn_name], fn.asked = fn, now
+        fn = self.functions.get(fn_name)
+        if fn is None:
+            at, spread = points(fn_name)
+            fn = self.functions[fn_name] = Function(
+                fn_name, max(1, lanes), max(1, lanes // self.front_ends), load_time, at,
+                [(spread >> 16 * row) % SKETCH_WIDTH for row in range(SKETCH_DEPTH)])
+        fn.asked = now
         if now >= self.window_ends and self.seen >= SKETCH_LEAST:
-            self.before, self.seen_before = self.sketch, self.seen
+            self.before, self.seen_before, self.counted = self.sketch, self.seen, self.window_from
+            self.window_from = now
             self.sketch, self.seen = [[0] * SKETCH_WIDTH for _ in range(SKETCH_DEPTH)], 0
             self.window_ends = now + SKETCH_WINDOW
             self.functions = {name: one for name, one in self.functions.items()
@@ -223,6 +181,7 @@
             kind.work += TREND * (work - kind.work) if kind.work else work
             kind.units = kind.work / SECOND
         self.units += TREND * (kind.units - self.units) if self.units else kind.units
+        self.spread(fn, kind, now)
         act = Activation(self, ivk, kind, fn, now + max(0, left - self.margin), work,
                          again or self.beyond_share(tenant, now))
         heapq.heappush(self.heap, (act.due, next(self.serial), act))
@@ -235,16 +194,19 @@
             self.paid[tenant] = paid + self.shares[tenant]
         return paid > now
 
-    def width(self, fn: Function, kind: Kind) -> int:
+    def spread(self, fn: Function, kind: Kind, now: int) -> None:
         """Stops it is spread over: when hot, by the sketch, two or three, or by its part of the fleet's work.
 
-        The less one front end sees, the thinner: all would send to the same three of a hundred workers."""
+        The less one front end sees, the thinner: all would send to the same three of a hundred workers. And
+        where it sees little of a stop, what all others send there keeps a copy: the ring is evidence."""
         seen = min(now[cell] + old[cell] for now, old, cell in zip(
             self.sketch, self.before, fn.cells, strict=True))
         share = (seen - 1) / (self.seen + self.seen_before + SKETCH_PRIOR)
         part = share * len(self.fleet) * kind.units / self.units
-        return max(1 + (share > HOT_SHARE) + (share > 2 * HOT_SHARE),
-                   round(part / max(SLICE, KNOWN / self.front_ends)))
+        fn.width = max(1 + (share > HOT_SHARE) + (share > 2 * HOT_SHARE),
+                       round(part / max(SLICE, KNOWN / self.front_ends)))
+        ours = seen * self.keep / max(self.keep, now - self.counted, 1) / fn.width
+        fn.kept = ours <= 1 and ours * (self.front_ends - 1) >= KEPT
 
     def expected(self, act: Activation) -> float:
         hint = act.work / act.kind.work if act.work and act.kind.work else 1.0
@@ -276,33 +238,42 @@
         worker.earned = now
         return worker.credit >= units
 
+    def settle(self, worker: Worker, now: int) -> None:
+        """What time alone does: limits recover, and a pace not heard of for a while fades."""
+        passed, worker.settled = now - worker.settled, now
+        worker.limit += GROW * passed / SECOND if worker.cut else 0
+        if now - worker.heard > ROUND and worker.pace:
+            worker.pace *= 0.5 ** (passed / PACE_HALF)
+
     def fit(self, worker: Worker, act: Activation, now: int) -> bool:
-        worker.settle(now)
+        self.settle(worker, now)
         return worker.until <= now and self.cold_room(worker, act, now) and (
             # Suspended before, it is on trial: one repeatable send at a time until an answer.
             not worker.suspensions or not worker.sends and act.kind.effect is not Effect.ONCE_ONLY)
 
     def room(self, worker: Worker, now: int, heft: float = 1.0) -> bool:
         """Under its cap, and not choking on what others send it, which our own count cannot show."""
-        return len(worker.sends) < min(self.cap(worker, now), worker.limit) and worker.pace * heft <= EASE
+        return len(worker.sends) < min(self.cap(worker, now), worker.limit) and self.calm(worker, now, heft)
+
+    def calm(self, worker: Worker, now: int, heft: float = 1.0) -> bool:
+        """Neither its answers nor its report say that others press it, which our own count cannot show."""
+        return worker.pace * heft <= EASE and (now - worker.told > REPORT_KEEP or worker.load <= (
+            PRESSED * max(1.0, self.mean_load) * worker.size / self.mean_size))
 
     def place(self, act: Activation, now: int) -> Worker | None:
         fn = act.fn
-        width = self.width(fn, act.kind)
-        fit = list(islice((worker for worker in self.walk(fn) if self.fit(worker, act, now)), width + REACH))
+        fit = list(islice((one for one in self.walk(fn) if self.fit(one, act, now)), fn.width + REACH))
         # A copy heard of since that send, as by our order after a 'miss', makes a worker worth trying again.
         tried = [send.worker for send in act.sends if not send.worker.holds(fn, send.at + self.keep)]
         stops = [worker for worker in fit if worker not in tried] or fit
         if not stops:
             # All look bad: a shared cause, so suspensions are set aside; cold workers stay guarded.
             return next((worker for worker in self.walk(fn) if self.cold_room(worker, act, now)), None)
-        home = stops[0]
-        if width > 1:
-            group, fn.turn = stops[:width], fn.turn + 1
-            shift = fn.turn % len(group)
-            stops = group[shift:] + group[:shift] + stops[width:]
+        home, group, fn.turn = stops[0], stops[:fn.width], fn.turn + 1
+        shift = fn.turn % len(group)
+        stops = group[shift:] + group[:shift] + stops[fn.width:]
         first = stops[0]
-        warm = [worker for worker in stops if worker.holds(fn, now)]
+        warm = [worker for worker in stops if worker.holds(fn, now) or fn.kept and worker in group]
         if not warm:
             coming = next((worker for worker in stops if worker.loading(fn)), None)
             if coming is None and self.may_load():
@@ -317,7 +288,7 @@
         heft = max(1.0, self.expected(act) / act.kind.typical) / (SPARE if act.spare else 1.0)
         for worker in warm:
             if worker.calls(fn) < fn.part and (self.room(worker, now, heft) or (
-                    worker is home and self.age(home, now) >= 1 and worker.pace * heft <= EASE and
+                    worker is home and self.age(home, now) >= 1 and self.calm(worker, now, heft) and
                     len(worker.sends) < worker.limit)):
                 chosen = worker
                 break
@@ -349,14 +320,16 @@
         if not worker.ready or fn.pause > now or not self.may_load(WIDEN) or (
                 given + 1 > self.load_free + earned):
             return False
-        worker.loads[fn.name], fn.pause = now, now + int(fn.load or self.load_base)
+        worker.loads.add(fn.name)
+        fn.pause = now + int(fn.load or self.load_base)
         self.orders += 1
         self.ordered.append(now)
         self.out.append(Step(Do.HOLD, worker=worker.name, fn=fn.name, amount=1))
         return True
 
     def held(self, now: int, name: str, fn_name: str, outcome: Outcome, copies: int) -> list[Step]:
-        self.orders -= self.workers[name].loads.pop(fn_name, None) is not None
+        self.orders -= fn_name in self.workers[name].loads
+        self.workers[name].loads.discard(fn_name)
         if outcome is Outcome.COMPLETED and copies:
             self.workers[name].warm[fn_name] = now + self.keep
         return self.steps(self.wake, self.functions.get(fn_name), now)
@@ -418,7 +391,8 @@
             if send.out:
                 self.out.append(Step(Do.CANCEL, act, send.worker.name, amount=send.number))
 
-    def judge(self, send: Send, now: int, outcome: Outcome, waited: int, copy: Copy, final: bool) -> None:
+    def judge(self, send: Send, now: int, outcome: Outcome, waited: int, copy: Copy, final: bool,
+              report: Report | None) -> None:
         act, worker, fn = send.act, send.worker, send.act.fn
         if not send.out:
             return
@@ -426,6 +400,7 @@
         del worker.sends[send], self.flying[send]
         if outcome not in NEVER_RAN:
             act.risky.append(send)
+        self.hear(worker, now, report)
         self.learn(send, now, outcome, waited, copy)
         self.wake(fn, now)
         if final:
@@ -440,7 +415,7 @@
 
     def learn(self, send: Send, now: int, outcome: Outcome, waited: int, copy: Copy) -> None:
         worker, act, fn = send.worker, send.act, send.act.fn
-        worker.settle(now)
+        self.settle(worker, now)
         if outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
             worker.heard = now
         if outcome is Outcome.COMPLETED:
@@ -475,6 +450,13 @@
         elif copy is not Copy.LOAD_FAILED and outcome in FAILED:
             self.strike(worker, now)
 
+    def hear(self, worker: Worker, now: int, report: Report | None) -> None:
+        """Takes the first of waiting and held that a report tells for the worker's load."""
+        told = [each for each in (report.waiting, report.held) if each is not None] if report else ()
+        if told:
+            worker.load, worker.told = told[0], now
+            self.mean_load += TREND * (worker.load * self.mean_size / worker.size - self.mean_load)
+
     def pace(self, send: Send, waited: int, now: int) -> float:
         """Notes what one send took, for its weight, and eases the worker; returns it over the expected."""
         worker, kind = send.worker, send.act.kind
--- a/threadshift/interface.py
+++ b/threadshift/interface.py
@@ -74,6 +74,15 @@
     text: str = ""
 
 
+class Report(NamedTuple):
+    """What a worker says of its load, a while ago and roughly; None: not told."""
+
+    waiting: float | None = None     # activations in its queue
+    held: float | None = None        # activations in all
+    busy: float | None = None        # share of its cores
+    loading: float | None = None     # loads under way or waiting
+
+
 class NamespaceType(NamedTuple):
     """A kind of activation, as read at start."""
 
@@ -170,9 +179,9 @@
         return self.dispatcher.steps(self.dispatcher.go_on, self, now)
 
     def returned(self, now: int, number: int, outcome: Outcome, waited: int, *, copy: Copy = Copy.UNTOLD,
-                 final: bool = False) -> list[Step]:
+                 final: bool = False, report: Report | None = None) -> list[Step]:
         send = self.sends[number]
-        return self.dispatcher.steps(self.dispatcher.judge, send, now, outcome, waited, copy, final)
+        return self.dispatcher.steps(self.dispatcher.judge, send, now, outcome, waited, copy, final, report)
 
     def streaming(self, now: int, number: int) -> list[Step]:
         self.begun = True
