Ask a worker for its load before a send where nothing fresh is known; turns by told size

Turns also began at the same stop at all front ends, and small boxes got as many as large.

Change: where the last report is older than 300 ms, the activation waits up to 30 ms for one; waiting calls there, or over twice the usual held, or no answer in that time, make the walk go on, for two stops at most. Turns begin at a point drawn by chance and follow told size. Walks again within a group kept warm by others cost no budget. Also guards against hung, slow and cut-off workers, which do not answer in time. Harm: up to 60 ms where nothing answers; deep probes on a fleet at its limit all look pressed. Records moved to state.py.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -34,7 +34,7 @@
         cases = ((1, 1, 1, 1), (2, 1, 2, 1), (4, 1, 4, 1), (3, 1, 1, 2), (3, 3, 3, 2))
         for held, fronts, lanes, used in cases:
             it = front_end(4, front_ends=fronts)
-            it.seen_before = 1000
+            it.sketch.total = 1000
             home = serve(it, lanes=lanes)
             stops = [worker.name for worker in it.walk(it.functions["f"])]
             it.workers[stops[1]].warm["f"] = 10 * SECOND
--- a/threadshift/adapter/host.py
+++ b/threadshift/adapter/host.py
@@ -56,6 +56,7 @@
         max_sends=start.whole("limits.maxAttempts", 1),
         may_cancel=start.flag("limits.cancel", False),
         may_duplicate=start.flag("limits.mayDuplicate", False),
+        may_probe=start.flag("limits.probes", False),
         may_order=start.flag("familyInfo.placementCalls", False),
         longest_advice=start.ns("limits.maxRetryAfter", 0) if start.flag("limits.retryAfter", False) else 0,
         loads_on_miss=start.text("familyInfo.notLoaded", "load") == "load",
@@ -123,6 +124,8 @@
             return self.dispatcher.held(
                 now, event.text("worker"), event.text("fn"), outcome(event),
                 event.whole("instances", 0))
+        if word == "STATUS_BACK":
+            return self.dispatcher.told(now, event.text("worker"), outcome(event), report(event))
         if word == "HEADERS":
             act = self.acts.get(event.text("id"))
             return act.streaming(now, event.whole("go")) if act else []
@@ -174,6 +177,8 @@
                         stayAway=to_ms(step.amount) if step.amount else None)
         if step.do is Do.ABORT:
             return line("DROP_REQUEST", i=i, id=act.ivk)
+        if step.do is Do.ASK:
+            return line("PING", i=i, worker=step.worker)
         if step.do is Do.HOLD:
             return line("MOUNT", i=i, worker=step.worker, fn=step.fn, instances=step.amount)
         return line("SAY_LOG", i=i, words=step.text.translate(LOG_WORDS))
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -13,11 +13,11 @@
 import random
 from collections import deque
 from collections.abc import Iterator
-from itertools import count, islice
+from itertools import accumulate, islice
 
 from threadshift.interface import (
     MS, SECOND, Activation, Copy, Deployment, Do, Effect, Listing, Outcome, Report, Send, State, Step)
-from threadshift.state import Function, Kind, Worker
+from threadshift.state import Function, Kind, Memory, Sketch, Worker
 
 POINTS = 150               # ring points a worker; the design's figure, spreads homes within some 8%
 EPSILON = 0.25             # room above the mean in flight; middle of the design's 0.1 to 0.5
@@ -28,7 +28,10 @@
 HOT_SHARE = 0.05           # of recent calls; the design's threshold; twice it earns the second successor
 SLICE, KNOWN = 0.25, 2.0   # of a worker's mean load that a function brings to each stop; with one front end
 KEPT = 3.0                 # calls by others, within the time an idle copy stays, that are taken to keep one
-REPORT_KEEP, PRESSED = 3 * SECOND, 2.0     # how long a report counts; times the usual load that it may tell
+REPORT_KEEP, FRESH_FOR = 3 * SECOND, 300 * MS      # a report counts so long; no new one is asked for so long
+WAITING, PRESSED = 0.5, 2.0    # calls waiting that tell a pressed worker; or times the usual that it holds
+ASKS, ASK_WAIT = 2, 30 * MS    # stops asked for an activation; an answer that takes longer tells of a queue
+TURNS, GOLDEN = 1 << 20, 0.6180339887  # where front ends' turns begin, by chance; step, even at any length
 ROUND = 100 * MS           # period of the health round; a small part of any target latency in sight
 TYPICAL_START, LOAD_START = 0.25, SECOND   # until seen: usual share of the target latency, a load's time
 PATIENCE = 4               # times the expected latency before a send is overdue; past 98% of exponential work
@@ -56,10 +59,11 @@
     return int.from_bytes(digest[:8], "big"), int.from_bytes(digest[8:], "big")
 
 
-class Dispatcher:
-    """One front end's decisions."""
+class Dispatcher(Memory):
+    """One front end's decisions; what it remembers besides the figures set here is named in Memory."""
 
     def __init__(self, seed: int, told: Deployment, now: int):
+        super().__init__(done_at=now)
         self.chance = random.Random(seed).random
         best = max((each.utility for each in told.types), default=0.0) or 1.0
         self.kinds = {each.name: Kind(each.target_latency, each.effect, each.group, each.memory_span,
@@ -74,27 +78,9 @@
         self.cold_factor = told.fall_multiple * told.fall_time / RATE_MEMORY
         self.shares = {each.name: int(SECOND * told.front_ends / SKEW / each.per_second)
                        for each in told.tenants if each.per_second > 0}     # ns a call within our part takes
-        self.paid: dict[str, int] = {}          # until when a tenant's calls have used its share up
-        self.workers: dict[str, Worker] = {}
-        self.functions: dict[str, Function] = {}
-        self.fleet: list[Worker] = []           # those that are ready
-        self.ring: list[int] = []               # points, in order, and whose they are
-        self.owner: dict[int, Worker] = {}
-        self.version = self.most_workers = self.seen = self.seen_before = 0     # version: of the ring
-        self.sketch, self.before = (    # and the window before: with a reset's few counts all would look hot
-            [[0] * SKETCH_WIDTH for _ in range(SKETCH_DEPTH)] for _ in range(2))
-        self.window_ends, self.next_round, self.budget = now + SKETCH_WINDOW, now + ROUND, BUDGET_MOST / 2
-        self.counted = self.window_from = now   # since when the sketches count, since when the newer one does
-        self.done, self.done_at = 0.0, now      # completed work, fading
-        self.took, self.ordered = deque(), deque()  # times of activations and load orders in the window
-        self.mean_load = 0.0                    # usual load in reports, for a worker of mean size
-        self.orders = self.cold_out = 0         # out: load orders, and sends with no copy believed there
-        # How many of both the store bears; last cut; a load's time when the store is at ease.
-        self.load_limit, self.load_cut, self.load_base = 0.0, 0, float(LOAD_START)
-        self.front_ends, self.units = told.front_ends, 0.0  # units: what a call weighs, over all types
-        self.heap, self.serial = [], count()    # (due, serial, activation)
-        self.flying: dict[Send, None] = {}      # all sends in flight, oldest first
-        self.out: list[Step] = []
+        self.front_ends, self.may_ask = told.front_ends, told.may_probe     # may_ask: until no load is told
+        self.sketch = self.before = Sketch(SKETCH_DEPTH, SKETCH_WIDTH, now)
+        self.next_round, self.budget, self.load_base = now + ROUND, BUDGET_MOST / 2, float(LOAD_START)
 
     def steps(self, decide, *args) -> list[Step]:
         decide(*args)
@@ -108,9 +94,17 @@
 
     def tick(self, now: int) -> list[Step]:
         while self.heap and self.heap[0][0] <= now:
-            heapq.heappop(self.heap)[2].expire(now)
+            self.lapse(heapq.heappop(self.heap)[2], now)
         return self.steps(self.round, now)
 
+    def lapse(self, act: Activation, now: int) -> None:
+        """Its own time is up, or it waited long enough for a worker's report, which tells that it is busy."""
+        if now >= act.due and not act.begun:
+            self.give_up(act, now)
+        elif act.asked is not None and not act.answered and now - act.asked.asked >= ASK_WAIT:
+            act.asked.pressed, act.asked.told = True, now
+            self.go_on(act, now)
+
     def roster(self, now: int, listings: list[Listing], full: bool) -> list[Step]:
         for worker in self.workers.values() if full else ():
             worker.ready = False
@@ -123,8 +117,7 @@
             worker.ready = told.state is State.READY
             if told.since > worker.since:
                 worker.since = told.since
-                # What we knew of copies, pace and failures was another process's.
-                worker.warm.clear()
+                worker.warm.clear()     # what we knew was of another process
                 worker.strikes = worker.suspensions = worker.until = worker.cut = 0
                 worker.pace, worker.limit, worker.credit, worker.told = 0.0, FIRST_LIMIT, -1.0, 0
         self.fleet = [worker for worker in self.workers.values() if worker.ready]
@@ -162,18 +155,13 @@
             at, spread = points(fn_name)
             fn = self.functions[fn_name] = Function(
                 fn_name, max(1, lanes), max(1, lanes // self.front_ends), load_time, at,
-                [(spread >> 16 * row) % SKETCH_WIDTH for row in range(SKETCH_DEPTH)])
-        fn.asked = now
-        if now >= self.window_ends and self.seen >= SKETCH_LEAST:
-            self.before, self.seen_before, self.counted = self.sketch, self.seen, self.window_from
-            self.window_from = now
-            self.sketch, self.seen = [[0] * SKETCH_WIDTH for _ in range(SKETCH_DEPTH)], 0
-            self.window_ends = now + SKETCH_WINDOW
+                self.sketch.cells(spread), turn=int(self.chance() * TURNS))
+        fn.asked, fn.turn = now, fn.turn + 1
+        if now - self.sketch.since >= SKETCH_WINDOW and self.sketch.total >= SKETCH_LEAST:
+            self.before, self.sketch = self.sketch, Sketch(SKETCH_DEPTH, SKETCH_WIDTH, now)
             self.functions = {name: one for name, one in self.functions.items()
                               if now - one.asked < 6 * SKETCH_WINDOW or one.parked}
-        self.seen += 1
-        for row, cell in zip(self.sketch, fn.cells, strict=True):
-            row[cell] += 1
+        self.sketch.add(fn.cells)
         self.took.append(now)
         self.recent(self.took, now)     # orders may be rare: without this the times would pile up
         kind = self.kinds[type_name]
@@ -183,8 +171,8 @@
         self.units += TREND * (kind.units - self.units) if self.units else kind.units
         self.spread(fn, kind, now)
         act = Activation(self, ivk, kind, fn, now + max(0, left - self.margin), work,
-                         again or self.beyond_share(tenant, now))
-        heapq.heappush(self.heap, (act.due, next(self.serial), act))
+                         again or self.beyond_share(tenant, now), fn.turn)
+        heapq.heappush(self.heap, (act.due, self.number(), act))
         return act
 
     def beyond_share(self, tenant: str, now: int) -> bool:
@@ -195,17 +183,17 @@
         return paid > now
 
     def spread(self, fn: Function, kind: Kind, now: int) -> None:
-        """Stops it is spread over: when hot, by the sketch, two or three, or by its part of the fleet's work.
+        """Over how many stops: when hot, by the sketch, two or three, or by its part of the fleet's work.
 
         The less one front end sees, the thinner: all would send to the same three of a hundred workers. And
         where it sees little of a stop, what all others send there keeps a copy: the ring is evidence."""
-        seen = min(now[cell] + old[cell] for now, old, cell in zip(
-            self.sketch, self.before, fn.cells, strict=True))
-        share = (seen - 1) / (self.seen + self.seen_before + SKETCH_PRIOR)
+        counts = {self.before, self.sketch}
+        seen = sum(each.count(fn.cells) for each in counts)
+        share = (seen - 1) / (sum(each.total for each in counts) + SKETCH_PRIOR)
         part = share * len(self.fleet) * kind.units / self.units
         fn.width = max(1 + (share > HOT_SHARE) + (share > 2 * HOT_SHARE),
                        round(part / max(SLICE, KNOWN / self.front_ends)))
-        ours = seen * self.keep / max(self.keep, now - self.counted, 1) / fn.width
+        ours = seen * self.keep / max(self.keep, now - self.before.since, 1) / fn.width
         fn.kept = ours <= 1 and ours * (self.front_ends - 1) >= KEPT
 
     def expected(self, act: Activation) -> float:
@@ -222,10 +210,8 @@
         return min(1.0, (now - worker.since) / self.cold_time) if worker.since and self.cold_time else 1.0
 
     def cold_room(self, worker: Worker, act: Activation, now: int) -> bool:
-        """Whether our part of what a just started worker can take, the least stated, allows for one more.
-
-        It is earned over time, from a point drawn by chance: one send at once from each of a hundred front
-        ends would push it over. With nothing known it is one call a stretch from all of them together."""
+        """Our part of what a just started worker can surely take is earned over time, from a point drawn by
+        chance: one send at once from each front end would push it over. Unknown: one a stretch by all."""
         age, units = self.age(worker, now), act.kind.units
         if age >= 1:
             return True
@@ -234,8 +220,7 @@
         if worker.credit < 0:
             worker.credit, worker.earned = units * self.chance(), now
         gain = max(COLD_RATE * budget, units / self.front_ends) * (now - worker.earned) / self.fall_time
-        worker.credit = min(max(units, COLD_BURST * budget), worker.credit + gain)
-        worker.earned = now
+        worker.credit, worker.earned = min(max(units, COLD_BURST * budget), worker.credit + gain), now
         return worker.credit >= units
 
     def settle(self, worker: Worker, now: int) -> None:
@@ -256,9 +241,8 @@
         return len(worker.sends) < min(self.cap(worker, now), worker.limit) and self.calm(worker, now, heft)
 
     def calm(self, worker: Worker, now: int, heft: float = 1.0) -> bool:
-        """Neither its answers nor its report say that others press it, which our own count cannot show."""
-        return worker.pace * heft <= EASE and (now - worker.told > REPORT_KEEP or worker.load <= (
-            PRESSED * max(1.0, self.mean_load) * worker.size / self.mean_size))
+        """Neither answers nor report say that others press it, which our own count cannot show."""
+        return worker.pace * heft <= EASE and not (worker.pressed and now - worker.told < REPORT_KEEP)
 
     def place(self, act: Activation, now: int) -> Worker | None:
         fn = act.fn
@@ -269,8 +253,9 @@
         if not stops:
             # All look bad: a shared cause, so suspensions are set aside; cold workers stay guarded.
             return next((worker for worker in self.walk(fn) if self.cold_room(worker, act, now)), None)
-        home, group, fn.turn = stops[0], stops[:fn.width], fn.turn + 1
-        shift = fn.turn % len(group)
+        home, group = stops[0], stops[:fn.width]
+        sizes = list(accumulate(worker.size for worker in group))   # in turn, the larger the more often
+        shift = min(bisect.bisect(sizes, act.turn * GOLDEN % 1.0 * sizes[-1]), len(group) - 1)
         stops = group[shift:] + group[:shift] + stops[fn.width:]
         first = stops[0]
         warm = [worker for worker in stops if worker.holds(fn, now) or fn.kept and worker in group]
@@ -316,9 +301,9 @@
 
     def hold(self, worker: Worker, fn: Function, now: int) -> bool:
         """Every load order passes here: rationed by rule, paced by us, one a function at a time."""
-        given, earned = self.recent(self.ordered, now), self.load_ratio * self.recent(self.took, now)
+        most = self.load_free + self.load_ratio * self.recent(self.took, now)
         if not worker.ready or fn.pause > now or not self.may_load(WIDEN) or (
-                given + 1 > self.load_free + earned):
+                self.recent(self.ordered, now) + 1 > most):
             return False
         worker.loads.add(fn.name)
         fn.pause = now + int(fn.load or self.load_base)
@@ -358,11 +343,12 @@
 
     def go_on(self, act: Activation, now: int) -> None:
         """Place and send, or give up at once."""
+        act.asked, fn = None, act.fn
         worker = None if act.answered else self.place(act, now)
-        if act.answered or act.fn.parked and act.fn.parked[-1] is act:
+        if act.answered or fn.parked and fn.parked[-1] is act or worker and self.ask(worker, act, now):
             return
         # Work done again, and load after load begun on one walk, would feed a storm: both are budgeted.
-        cost = bool(act.risky) + (not worker.holds(act.fn, now)) if worker and act.sends else 0
+        cost = bool(act.risky) + (not fn.kept and not worker.holds(fn, now)) if worker and act.sends else 0
         if worker is not None and self.budget >= cost and self.send(act, worker, now):
             self.budget -= cost
         elif not act.out:
@@ -375,9 +361,8 @@
 
     def give_up(self, act: Activation, now: int) -> None:
         """A rejection says that trying again is harmless, so it must be; else abort."""
-        kind = act.kind
-        harmless = kind.effect is Effect.REPEATABLE or not (act.risky or act.out) or (
-            kind.effect is Effect.DEDUPLICATED and kind.group == "all")
+        harmless = act.kind.effect is Effect.REPEATABLE or not (act.risky or act.out) or (
+            act.kind.effect is Effect.DEDUPLICATED and act.kind.group == "all")
         self.close(act, Do.REJECT if harmless else Do.ABORT)
 
     def close(self, act: Activation, how: Do | None) -> None:
@@ -437,8 +422,7 @@
                     if other is not worker and other.warm.get(fn.name, 0) < send.at + self.keep:
                         other.warm.pop(fn.name, None)
         elif outcome is Outcome.CANCELLED and send.warm and waited > self.expected(act):
-            # Given up on, it would have taken longer still: else a worker that seldom answers looks fast.
-            self.pace(send, waited, now)
+            self.pace(send, waited, now)    # longer still: else one that seldom answers looks fast
         elif outcome is Outcome.FULL:
             worker.until = max(worker.until, now + CUT_PAUSE)
             worker.pace += FRESH * (1.0 - worker.pace)
@@ -451,11 +435,36 @@
             self.strike(worker, now)
 
     def hear(self, worker: Worker, now: int, report: Report | None) -> None:
-        """Takes the first of waiting and held that a report tells for the worker's load."""
-        told = [each for each in (report.waiting, report.held) if each is not None] if report else ()
-        if told:
-            worker.load, worker.told = told[0], now
-            self.mean_load += TREND * (worker.load * self.mean_size / worker.size - self.mean_load)
+        """A worker is pressed where calls wait, or if that is not told, far more are held than usual."""
+        if report and report.waiting is not None:
+            worker.pressed, worker.told = report.waiting > WAITING, now
+        elif report and report.held is not None:
+            held = report.held * self.mean_size / worker.size
+            worker.pressed, worker.told = held > PRESSED * max(1.0, self.mean_held), now
+            self.mean_held += TREND * (held - self.mean_held)
+
+    def ask(self, worker: Worker, act: Activation, now: int) -> bool:
+        """Whether the activation waits a moment for a report, where the last one is too old to go by."""
+        if not self.may_ask or act.asks >= ASKS or now - worker.told < FRESH_FOR or now + ASK_WAIT >= act.due:
+            return False
+        act.asks, act.asked = act.asks + 1, worker
+        if not worker.askers:
+            worker.asked = now
+            self.out.append(Step(Do.ASK, worker=worker.name))
+        worker.askers.append(act)
+        heapq.heappush(self.heap, (worker.asked + ASK_WAIT, self.number(), act))
+        return True
+
+    def told(self, now: int, name: str, outcome: Outcome, report: Report | None) -> list[Step]:
+        """What asking a worker brought; a probe turned away or lost tells as much as a long queue."""
+        worker = self.workers[name]
+        self.hear(worker, now, report)
+        if outcome is not Outcome.COMPLETED:
+            worker.pressed, worker.told = True, now
+        elif worker.told < now:
+            self.may_ask = False            # probes tell no load here
+        askers, worker.askers = worker.askers, []
+        return self.steps(lambda: [self.go_on(act, now) for act in askers if act.asked is worker])
 
     def pace(self, send: Send, waited: int, now: int) -> float:
         """Notes what one send took, for its weight, and eases the worker; returns it over the expected."""
--- a/threadshift/interface.py
+++ b/threadshift/interface.py
@@ -59,6 +59,7 @@
     CANCEL = "cancel"      # give up waiting for send number `amount` of act
     REJECT = "reject"      # final answer; the client may come back after `amount` ns (0: no advice)
     ABORT = "abort"        # final answer
+    ASK = "ask"            # probe worker, for its load report
     HOLD = "hold"          # load order: `amount` copies of fn at worker
     NOTE = "note"          # a line for the operators' log, in `text`
 
@@ -117,6 +118,7 @@
     may_cancel: bool = False
     may_duplicate: bool = False
     may_order: bool = False
+    may_probe: bool = False
     longest_advice: int = 0      # the longest time to come back that clients heed; 0: none may be named
     loads_on_miss: bool = True
     idle_keep: int = 0           # an idle copy stays at least this long
@@ -164,6 +166,9 @@
     due: int                     # when its final answer is due
     work: int                    # cost hint in ns; 0: none
     spare: bool                  # worth least: a client's repetition, or beyond a share
+    turn: int                    # of its function's round-robin
+    asks: int = 0                # workers asked for a report on its account
+    asked: Any = None            # the worker whose report it waits for
     sends: list[Send] = field(default_factory=list)
     risky: list[Send] = field(default_factory=list)     # sends that may have run
     out: int = 0                 # sends without an outcome yet
@@ -190,6 +195,3 @@
     def left(self, now: int) -> list[Step]:
         return self.dispatcher.steps(self.dispatcher.close, self, None)
 
-    def expire(self, now: int) -> None:
-        if not self.begun:
-            self.dispatcher.give_up(self, now)
--- a/threadshift/state.py
+++ b/threadshift/state.py
@@ -1,4 +1,4 @@
-"""What one front end remembers of namespace types, functions and workers: plain records.
+"""What one front end remembers of namespace types, functions, workers and itself: plain records.
 
 Nothing here decides, and no figure here is tuned; threadshift/choice.py fills these in and reads them.
 Times are whole nanoseconds, 0 for never.
@@ -6,9 +6,11 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import count
 
-from threadshift.interface import Activation, Effect, Send
+from threadshift.interface import Activation, Effect, Send, Step
 
 
 @dataclass(slots=True, eq=False)
@@ -67,8 +69,10 @@
     cut: int = 0                 # when that was last cut
     credit: float = -1.0         # work it may be sent while cold, -1 before any
     earned: int = 0              # until when credit was earned
-    load: float = 0.0            # activations waiting there, or held, by its latest report ...
-    told: int = 0                # ... and when that came
+    pressed: bool = False        # by its latest report, or by none that came in time ...
+    told: int = 0                # ... and when that was
+    asked: int = 0               # when it was last asked for a report
+    askers: list[Activation] = field(default_factory=list)      # waiting for that report
     sends: dict[Send, None] = field(default_factory=dict)   # ours in flight, oldest first
     warm: dict[str, int] = field(default_factory=dict)      # function: a copy is believed to stand until then
     loads: set[str] = field(default_factory=set)            # functions with a load order of ours out
@@ -81,3 +85,51 @@
 
     def loading(self, fn: Function) -> bool:
         return fn.name in self.loads or self.calls(fn) > 0
+
+
+class Sketch:
+    """A count-min sketch: counts names in fixed room, never too low."""
+
+    def __init__(self, depth: int, width: int, since: int):
+        self.rows, self.width, self.since, self.total = [[0] * width for _ in range(depth)], width, since, 0
+
+    def cells(self, number: int) -> list[int]:
+        """Where a name is counted, by a large number drawn from it."""
+        return [(number >> 16 * row) % self.width for row in range(len(self.rows))]
+
+    def add(self, cells: list[int]) -> None:
+        self.total += 1
+        for row, cell in zip(self.rows, cells, strict=True):
+            row[cell] += 1
+
+    def count(self, cells: list[int]) -> int:
+        return min(row[cell] for row, cell in zip(self.rows, cells, strict=True))
+
+
+@dataclass(eq=False)
+class Memory:
+    """What a front end remembers beside its settings."""
+
+    done_at: int                 # until when completed work, which fades, was brought up to date
+    done: float = 0.0
+    workers: dict[str, Worker] = field(default_factory=dict)
+    functions: dict[str, Function] = field(default_factory=dict)
+    fleet: list[Worker] = field(default_factory=list)           # workers that are ready
+    most_workers: int = 0        # ready at once, so far
+    mean_size: float = 1.0       # of those that are ready
+    ring: list[int] = field(default_factory=list)               # points in order ...
+    owner: dict[int, Worker] = field(default_factory=dict)      # ... and whose they are
+    version: int = 0             # of the ring
+    paid: dict[str, int] = field(default_factory=dict)          # until when a tenant's share is used up
+    units: float = 0.0           # what a call weighs, over all types
+    mean_held: float = 0.0       # calls usually held by a worker of mean size, by reports
+    took: deque[int] = field(default_factory=deque)             # times of activations in the load window
+    ordered: deque[int] = field(default_factory=deque)          # times of load orders in it
+    orders: int = 0              # load orders out
+    cold_out: int = 0            # sends out with no copy believed there
+    load_limit: float = 0.0      # how many of both the store bears ...
+    load_cut: int = 0            # ... and when that was last cut
+    heap: list[tuple[int, int, Activation]] = field(default_factory=list)   # (due, serial, activation)
+    number: Callable[[], int] = field(default_factory=lambda: count().__next__)     # serials
+    flying: dict[Send, None] = field(default_factory=dict)      # all sends in flight, oldest first
+    out: list[Step] = field(default_factory=list)               # to be carried out
