Load over the cap's part of the usual, by reports asked for, bounds walks where counts can't

Change: one measure, press: the worker's pace over what it may be, and its reported load over 1.25 times the usual held, or over two waiting. It bounds the walk and orders the last choice. Asking ends only after 40 probes in a row without a load. All of it acts only where the caps of all front ends together (front ends x 1.25) exceed the sends that a worker surely bears, 4: with three or fewer, own counts and answers tell enough.

--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -29,13 +29,12 @@
 SLICE, KNOWN = 0.25, 2.0   # of a worker's mean load that a function brings to each stop; with one front end
 KEPT = 3.0                 # calls by others, within the time an idle copy stays, that are taken to keep one
 REPORT_KEEP, FRESH_FOR = 3 * SECOND, 300 * MS      # a report counts so long; no new one is asked for so long
-WAITING, PRESSED = 0.5, 2.0    # calls waiting that tell a pressed worker; or times the usual that it holds
-ASKS, ASK_WAIT = 2, 30 * MS    # stops asked for an activation; an answer that takes longer tells of a queue
+WAITING, SILENT = 2.0, 2.0     # calls waiting that tell a pressed worker; load taken where no report comes
+ASKS, ASK_WAIT, UNTOLD = 4, 30 * MS, 40    # stops asked a call; later, it is busy; so many told none: no more
 TURNS, GOLDEN = 1 << 20, 0.6180339887  # where front ends' turns begin, by chance; step, even at any length
 ROUND = 100 * MS           # period of the health round; a small part of any target latency in sight
 TYPICAL_START, LOAD_START = 0.25, SECOND   # until seen: usual share of the target latency, a load's time
-PATIENCE = 4               # times the expected latency before a send is overdue; past 98% of exponential work
-EASE = 0.45                # share of the target latency that answers may take on average; a tenth is late
+PATIENCE, EASE = 4, 0.45   # times the expected until overdue, 98% are in; of the target that answers may take
 TREND, FRESH = 0.03, 0.15  # weight of the newest answer in what is usual for all, in a worker's pace
 PACE_HALF = 3.5 * SECOND   # without an answer half of a pace is left after this; then it is tried again
 FIRST_LIMIT, GROW = 4.0, 1.0   # sends in flight at a worker until it shows what it bears; a second regained
@@ -44,8 +43,7 @@
 BUDGET_SHARE, BUDGET_MOST = 0.1, 10.0      # further sends earned by a completed one, saved up; bounds storms
 COLD_RATE, COLD_BURST = 0.5, 0.2   # of the stated cold budget: earned a stretch, saved up; rest for chance
 RATE_MEMORY = 10 * SECOND  # memory of the rate of completed work
-SKEW = 1.2                 # our part of a tenant's share over an equal one: halls are not equally busy
-SPARE = 0.6                # of a worker's pace is open to what is worth least
+SKEW, SPARE = 1.2, 0.6     # our part of a tenant's share over an equal one; of pace open to what is worth least
 PARKED = 8                 # activations a lane that may wait here for a load; more would be late in any case
 CROWDED, WIDEN = 2.0, 0.5  # times the usual load that tell a crowded store; loads open to further copies
 
@@ -69,7 +67,7 @@
         self.kinds = {each.name: Kind(each.target_latency, each.effect, each.group, each.memory_span,
                                       each.utility / best, TYPICAL_START * each.target_latency)
                       for each in told.types}
-        self.margin = 2 * told.tick
+        self.margin, self.front_ends = 2 * told.tick, told.front_ends
         self.max_sends, self.may_cancel, self.may_twice = told.max_sends, told.may_cancel, told.may_duplicate
         self.advice, self.keep, self.loads_itself = told.longest_advice, told.idle_keep, told.loads_on_miss
         self.load_window, self.load_ratio = told.load_window or 1, told.load_ratio
@@ -78,7 +76,8 @@
         self.cold_factor = told.fall_multiple * told.fall_time / RATE_MEMORY
         self.shares = {each.name: int(SECOND * told.front_ends / SKEW / each.per_second)
                        for each in told.tenants if each.per_second > 0}     # ns a call within our part takes
-        self.front_ends, self.may_ask = told.front_ends, told.may_probe     # may_ask: until no load is told
+        self.blind = told.front_ends * (1 + EPSILON) > FIRST_LIMIT      # caps of all together bound no load
+        self.may_ask = UNTOLD if told.may_probe and self.blind else 0
         self.sketch = self.before = Sketch(SKETCH_DEPTH, SKETCH_WIDTH, now)
         self.next_round, self.budget, self.load_base = now + ROUND, BUDGET_MOST / 2, float(LOAD_START)
 
@@ -102,7 +101,7 @@
         if now >= act.due and not act.begun:
             self.give_up(act, now)
         elif act.asked is not None and not act.answered and now - act.asked.asked >= ASK_WAIT:
-            act.asked.pressed, act.asked.told = True, now
+            act.asked.load, act.asked.told = SILENT, now
             self.go_on(act, now)
 
     def roster(self, now: int, listings: list[Listing], full: bool) -> list[Step]:
@@ -176,7 +175,7 @@
         return act
 
     def beyond_share(self, tenant: str, now: int) -> bool:
-        """Whether this call is more than our part of what its tenant may ask, a second's worth saved up."""
+        """Whether this is more than our part of what its tenant may ask, a second's worth saved up."""
         paid = max(self.paid.get(tenant, now - SECOND), now - SECOND)
         if tenant in self.shares and paid <= now:
             self.paid[tenant] = paid + self.shares[tenant]
@@ -205,8 +204,7 @@
         cap = max(1.0, len(self.flying) / len(self.fleet)) * (1 + EPSILON) * worker.size / self.mean_size
         return min(cap, 1.0 + max(0.0, cap - 1.0) * self.age(worker, now))
 
-    def age(self, worker: Worker, now: int) -> float:
-        """Share of its warming that a started worker has behind it, by the latest time stated."""
+    def age(self, worker: Worker, now: int) -> float:    # share of its warming that is over, at the latest
         return min(1.0, (now - worker.since) / self.cold_time) if worker.since and self.cold_time else 1.0
 
     def cold_room(self, worker: Worker, act: Activation, now: int) -> bool:
@@ -238,11 +236,12 @@
 
     def room(self, worker: Worker, now: int, heft: float = 1.0) -> bool:
         """Under its cap, and not choking on what others send it, which our own count cannot show."""
-        return len(worker.sends) < min(self.cap(worker, now), worker.limit) and self.calm(worker, now, heft)
+        return len(worker.sends) < min(self.cap(worker, now), worker.limit) and (
+            self.press(worker, now) * heft <= 1)
 
-    def calm(self, worker: Worker, now: int, heft: float = 1.0) -> bool:
-        """Neither answers nor report say that others press it, which our own count cannot show."""
-        return worker.pace * heft <= EASE and not (worker.pressed and now - worker.told < REPORT_KEEP)
+    def press(self, worker: Worker, now: int) -> float:
+        """How hard others press it, 1 being what it should carry, by its answers and its last report."""
+        return max(worker.pace / EASE, worker.load if self.blind and now - worker.told < REPORT_KEEP else 0.0)
 
     def place(self, act: Activation, now: int) -> Worker | None:
         fn = act.fn
@@ -273,7 +272,7 @@
         heft = max(1.0, self.expected(act) / act.kind.typical) / (SPARE if act.spare else 1.0)
         for worker in warm:
             if worker.calls(fn) < fn.part and (self.room(worker, now, heft) or (
-                    worker is home and self.age(home, now) >= 1 and self.calm(worker, now, heft) and
+                    worker is home and self.age(home, now) >= 1 and self.press(home, now) * heft <= 1 and
                     len(worker.sends) < worker.limit)):
                 chosen = worker
                 break
@@ -281,8 +280,10 @@
             if act.spare:
                 return None
             first = next((worker for worker in stops if worker not in warm and self.room(worker, now)), first)
-            able = [one for one in warm if len(one.sends) < one.limit and one.pace * heft <= act.kind.grade]
-            chosen = min(able, key=lambda worker: len(worker.sends) / worker.limit, default=None) or next(
+            able = [one for one in warm if len(one.sends) < one.limit and (
+                self.press(one, now) * heft * EASE <= act.kind.grade)]
+            able.sort(key=lambda one: (self.blind and self.press(one, now), len(one.sends) / one.limit))
+            chosen = able[0] if able else next(
                 (worker for worker in stops if self.room(worker, now) and self.may_load(WIDEN)), None)
             if len(fn.parked) < fn.lanes and any(worker.calls(fn) for worker in warm):
                 fn.parked.append(act)   # sent on, it would make the worker start a copy that few calls use
@@ -361,9 +362,9 @@
 
     def give_up(self, act: Activation, now: int) -> None:
         """A rejection says that trying again is harmless, so it must be; else abort."""
-        harmless = act.kind.effect is Effect.REPEATABLE or not (act.risky or act.out) or (
-            act.kind.effect is Effect.DEDUPLICATED and act.kind.group == "all")
-        self.close(act, Do.REJECT if harmless else Do.ABORT)
+        safe = act.kind.effect is Effect.REPEATABLE or act.kind.effect is Effect.DEDUPLICATED and (
+            act.kind.group == "all")
+        self.close(act, Do.REJECT if safe or not (act.risky or act.out) else Do.ABORT)
 
     def close(self, act: Activation, how: Do | None) -> None:
         """The one place that gives a final answer; None where the client has it or wants none."""
@@ -435,17 +436,17 @@
             self.strike(worker, now)
 
     def hear(self, worker: Worker, now: int, report: Report | None) -> None:
-        """A worker is pressed where calls wait, or if that is not told, far more are held than usual."""
+        """Load is calls that wait, or where that is not told those held, over the cap's part of the usual."""
+        rate = self.mean_size / worker.size
         if report and report.waiting is not None:
-            worker.pressed, worker.told = report.waiting > WAITING, now
+            worker.load, worker.told = report.waiting * rate / WAITING, now
         elif report and report.held is not None:
-            held = report.held * self.mean_size / worker.size
-            worker.pressed, worker.told = held > PRESSED * max(1.0, self.mean_held), now
-            self.mean_held += TREND * (held - self.mean_held)
+            worker.load, worker.told = report.held * rate / (1 + EPSILON) / max(1.0, self.mean_held), now
+            self.mean_held += TREND * (report.held * rate - self.mean_held)
 
     def ask(self, worker: Worker, act: Activation, now: int) -> bool:
         """Whether the activation waits a moment for a report, where the last one is too old to go by."""
-        if not self.may_ask or act.asks >= ASKS or now - worker.told < FRESH_FOR or now + ASK_WAIT >= act.due:
+        if min(self.may_ask, ASKS - act.asks) <= 0 or now - max(worker.told, worker.asked) < FRESH_FOR:
             return False
         act.asks, act.asked = act.asks + 1, worker
         if not worker.askers:
@@ -460,9 +461,8 @@
         worker = self.workers[name]
         self.hear(worker, now, report)
         if outcome is not Outcome.COMPLETED:
-            worker.pressed, worker.told = True, now
-        elif worker.told < now:
-            self.may_ask = False            # probes tell no load here
+            worker.load, worker.told = SILENT, now
+        self.may_ask -= 1 if worker.told < now else self.may_ask - UNTOLD   # some places' probes tell no load
         askers, worker.askers = worker.askers, []
         return self.steps(lambda: [self.go_on(act, now) for act in askers if act.asked is worker])
 
--- a/threadshift/state.py
+++ b/threadshift/state.py
@@ -69,7 +69,7 @@
     cut: int = 0                 # when that was last cut
     credit: float = -1.0         # work it may be sent while cold, -1 before any
     earned: int = 0              # until when credit was earned
-    pressed: bool = False        # by its latest report, or by none that came in time ...
+    load: float = 0.0            # over what it should carry, by its latest report or its silence ...
     told: int = 0                # ... and when that was
     asked: int = 0               # when it was last asked for a report
     askers: list[Activation] = field(default_factory=list)      # waiting for that report
