Loads at once bounded over all front ends; waits for loads no longer press a worker

Reported waiting counts calls that wait for a load: with 9 loads under way a worker, idle cores, every worker looked pressed, each walk began a load elsewhere, and the bound on loads at once was one a worker for each of 49 front ends.

Change: the bound is three loads a worker over all front ends together, at least one each; waiting and held are taken less the loads under way; a send within a group kept warm by others counts as warm; a tenant's share may save up twelve calls, since a second's worth is less than one call.

--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -43,22 +43,21 @@
 BUDGET_SHARE, BUDGET_MOST = 0.1, 10.0      # further sends earned by a completed one, saved up; bounds storms
 COLD_RATE, COLD_BURST = 0.5, 0.2   # of the stated cold budget: earned a stretch, saved up; rest for chance
 RATE_MEMORY = 10 * SECOND  # memory of the rate of completed work
-SKEW, SPARE = 1.2, 0.6     # our part of a tenant's share over an equal one; of pace open to what is worth least
-PARKED = 8                 # activations a lane that may wait here for a load; more would be late in any case
-CROWDED, WIDEN = 2.0, 0.5  # times the usual load that tell a crowded store; loads open to further copies
+SKEW, SPARE = 1.2, 0.6     # our part of a tenant's share over an equal one; of pace, open to the least worth
+SAVED, PARKED = 12, 8      # calls of a share saved up for chance; calls a lane that may wait for a load
+LOADS, WIDEN = 3.0, 0.5    # loads at once a worker, by all front ends; of them, open to further copies
+CROWDED = 2.0              # times the usual load time that tell a crowded store
 
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT, Outcome.MISS)
 FAILED = (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR)
 
 
-def points(text: str) -> tuple[int, int]:
-    """Two ring points from one digest."""
+def points(text: str) -> tuple[int, int]:    # two from one digest
     digest = hashlib.md5(text.encode()).digest()
     return int.from_bytes(digest[:8], "big"), int.from_bytes(digest[8:], "big")
 
 
 class Dispatcher(Memory):
-    """One front end's decisions; what it remembers besides the figures set here is named in Memory."""
 
     def __init__(self, seed: int, told: Deployment, now: int):
         super().__init__(done_at=now)
@@ -67,9 +66,9 @@
         self.kinds = {each.name: Kind(each.target_latency, each.effect, each.group, each.memory_span,
                                       each.utility / best, TYPICAL_START * each.target_latency)
                       for each in told.types}
-        self.margin, self.front_ends = 2 * told.tick, told.front_ends
+        self.margin, self.front_ends, self.keep = 2 * told.tick, told.front_ends, told.idle_keep
         self.max_sends, self.may_cancel, self.may_twice = told.max_sends, told.may_cancel, told.may_duplicate
-        self.advice, self.keep, self.loads_itself = told.longest_advice, told.idle_keep, told.loads_on_miss
+        self.advice, self.loads_itself = told.longest_advice, told.loads_on_miss
         self.load_window, self.load_ratio = told.load_window or 1, told.load_ratio
         self.load_free = -1.0 if not told.may_order else told.load_free if told.load_window else float("inf")
         self.cold_share, self.cold_time, self.fall_time = told.cold_share, told.cold_time, told.fall_time
@@ -130,7 +129,8 @@
             self.version += 1
         self.mean_size = sum(worker.size for worker in self.fleet) / max(1, len(self.fleet))
         self.most_workers = max(self.most_workers, len(self.fleet))
-        self.load_limit = self.load_limit or max(2.0, len(self.fleet))
+        self.most_loads = max(1.0, len(self.fleet) * min(1.0, LOADS / self.front_ends))
+        self.load_limit = self.load_limit or self.most_loads
         return []
 
     def walk(self, fn: Function) -> Iterator[Worker]:
@@ -175,10 +175,11 @@
         return act
 
     def beyond_share(self, tenant: str, now: int) -> bool:
-        """Whether this is more than our part of what its tenant may ask, a second's worth saved up."""
-        paid = max(self.paid.get(tenant, now - SECOND), now - SECOND)
-        if tenant in self.shares and paid <= now:
-            self.paid[tenant] = paid + self.shares[tenant]
+        """Whether this is more than our part of what its tenant may ask; some are saved up for chance."""
+        pays = self.shares.get(tenant, 0)
+        paid = max(self.paid.get(tenant, -SECOND), now - max(SECOND, SAVED * pays))
+        if paid <= now:
+            self.paid[tenant] = paid + pays
         return paid > now
 
     def spread(self, fn: Function, kind: Kind, now: int) -> None:
@@ -235,7 +236,6 @@
             not worker.suspensions or not worker.sends and act.kind.effect is not Effect.ONCE_ONLY)
 
     def room(self, worker: Worker, now: int, heft: float = 1.0) -> bool:
-        """Under its cap, and not choking on what others send it, which our own count cannot show."""
         return len(worker.sends) < min(self.cap(worker, now), worker.limit) and (
             self.press(worker, now) * heft <= 1)
 
@@ -243,6 +243,9 @@
         """How hard others press it, 1 being what it should carry, by its answers and its last report."""
         return max(worker.pace / EASE, worker.load if self.blind and now - worker.told < REPORT_KEEP else 0.0)
 
+    def stands(self, worker: Worker, fn: Function, now: int) -> bool:   # by our own calls, or by others'
+        return worker.holds(fn, now) or fn.kept and worker in fn.group
+
     def place(self, act: Activation, now: int) -> Worker | None:
         fn = act.fn
         fit = list(islice((one for one in self.walk(fn) if self.fit(one, act, now)), fn.width + REACH))
@@ -257,7 +260,8 @@
         shift = min(bisect.bisect(sizes, act.turn * GOLDEN % 1.0 * sizes[-1]), len(group) - 1)
         stops = group[shift:] + group[:shift] + stops[fn.width:]
         first = stops[0]
-        warm = [worker for worker in stops if worker.holds(fn, now) or fn.kept and worker in group]
+        fn.group = group
+        warm = [worker for worker in stops if self.stands(worker, fn, now)]
         if not warm:
             coming = next((worker for worker in stops if worker.loading(fn)), None)
             if coming is None and self.may_load():
@@ -330,11 +334,10 @@
             (kind.group == "all" or getattr(send.worker, kind.group) == getattr(worker, kind.group))
             and now + self.margin < send.at + kind.span for send in maybe)
 
-    def send(self, act: Activation, worker: Worker, now: int) -> bool:
-        """Every send passes here."""
+    def send(self, act: Activation, worker: Worker, now: int) -> bool:   # every send passes here
         if not self.may_send(act, worker, now):
             return False
-        send = Send(act, len(act.sends), worker, now, worker.holds(act.fn, now))
+        send = Send(act, len(act.sends), worker, now, self.stands(worker, act.fn, now))
         act.sends.append(send)
         worker.sends[send] = self.flying[send] = None
         act.out, self.cold_out = act.out + 1, self.cold_out + (not send.warm)
@@ -343,13 +346,12 @@
         return True
 
     def go_on(self, act: Activation, now: int) -> None:
-        """Place and send, or give up at once."""
         act.asked, fn = None, act.fn
         worker = None if act.answered else self.place(act, now)
         if act.answered or fn.parked and fn.parked[-1] is act or worker and self.ask(worker, act, now):
             return
         # Work done again, and load after load begun on one walk, would feed a storm: both are budgeted.
-        cost = bool(act.risky) + (not fn.kept and not worker.holds(fn, now)) if worker and act.sends else 0
+        cost = bool(act.risky) + (not self.stands(worker, fn, now)) if worker and act.sends else 0
         if worker is not None and self.budget >= cost and self.send(act, worker, now):
             self.budget -= cost
         elif not act.out:
@@ -436,13 +438,14 @@
             self.strike(worker, now)
 
     def hear(self, worker: Worker, now: int, report: Report | None) -> None:
-        """Load is calls that wait, or where that is not told those held, over the cap's part of the usual."""
-        rate = self.mean_size / worker.size
-        if report and report.waiting is not None:
-            worker.load, worker.told = report.waiting * rate / WAITING, now
-        elif report and report.held is not None:
-            worker.load, worker.told = report.held * rate / (1 + EPSILON) / max(1.0, self.mean_held), now
-            self.mean_held += TREND * (report.held * rate - self.mean_held)
+        """Load is calls that wait, or else those held, not for loads, over the cap's part of the usual."""
+        told = report and (report.held if report.waiting is None else report.waiting)
+        if told is None:
+            return
+        load = max(0.0, told - (report.loading or 0.0)) * self.mean_size / worker.size
+        usual = WAITING if report.waiting is not None else (1 + EPSILON) * max(1.0, self.mean_held)
+        worker.load, worker.told = load / usual, now
+        self.mean_held += TREND * (load - self.mean_held)
 
     def ask(self, worker: Worker, act: Activation, now: int) -> bool:
         """Whether the activation waits a moment for a report, where the last one is too old to go by."""
@@ -475,12 +478,11 @@
             self.ease(worker, now)
         return ratio
 
-    def crowd(self, crowded: bool, now: int) -> None:
-        """Store and loaders are shared by all: lengthening or failing loads mean fewer at once."""
+    def crowd(self, crowded: bool, now: int) -> None:    # lengthening or failing loads mean fewer at once
         if not crowded:
-            self.load_limit = min(self.load_limit + 1 / self.load_limit, max(2.0, len(self.fleet)))
+            self.load_limit = min(self.load_limit + 1 / self.load_limit, self.most_loads)
         elif now - self.load_cut >= CUT_PAUSE:
-            self.load_limit, self.load_cut = max(2.0, CUT * self.load_limit), now
+            self.load_limit, self.load_cut = max(1.0, CUT * self.load_limit), now
 
     def ease(self, worker: Worker, now: int) -> None:
         """Too much for it, whether small, slow, full or pressed by others: it gets fewer at a time."""
@@ -493,13 +495,12 @@
         worker.strikes += 1
         if worker.until > now or (worker.strikes < STRIKES and not worker.suspensions):
             return
-        length = min(SUSPEND_MOST, SUSPEND << min(worker.suspensions, 8))
-        worker.until = now + int(length * (0.75 + 0.5 * self.chance()))
+        worker.until = now + int(min(SUSPEND_MOST, SUSPEND << worker.suspensions) * (0.75 + 0.5 * self.chance()))
         worker.suspensions += 1
         worker.warm.clear()
 
     def patience(self, send: Send) -> float:
-        load = 0 if send.warm else 2 * CROWDED * (send.act.fn.load or self.load_base)
+        load = 0 if send.warm and not send.act.fn.kept else 2 * CROWDED * (send.act.fn.load or self.load_base)
         return load + max(PATIENCE * self.expected(send.act), EASE * send.act.kind.target)
 
     def round(self, now: int) -> None:
--- a/threadshift/state.py
+++ b/threadshift/state.py
@@ -44,6 +44,7 @@
     asked: int = 0               # when it was last called
     pause: int = 0               # no load order before it
     width: int = 1               # stops that it is spread over
+    group: list[Worker] = field(default_factory=list)           # these stops, home first
     kept: bool = False           # others' calls are taken to keep its copies at these stops
     parked: deque[Activation] = field(default_factory=deque)    # waiting here for a load or a lane
 
@@ -127,7 +128,8 @@
     ordered: deque[int] = field(default_factory=deque)          # times of load orders in it
     orders: int = 0              # load orders out
     cold_out: int = 0            # sends out with no copy believed there
-    load_limit: float = 0.0      # how many of both the store bears ...
+    most_loads: float = 1.0      # how many of both there may be at most ...
+    load_limit: float = 0.0      # ... how many the store bears now ...
     load_cut: int = 0            # ... and when that was last cut
     heap: list[tuple[int, int, Activation]] = field(default_factory=list)   # (due, serial, activation)
     number: Callable[[], int] = field(default_factory=lambda: count().__next__)     # serials
