A walk judges stops lazily and stops at the first that will do; group membership by look-up

Each placing judged every stop of the group and sixteen more, and looked each up in a list as long as the group; with asking it placed two or three times an activation.

Change: the stops in turn are judged one by one until one has a copy and room, sixteen at most. Same decisions but for a group's unfit stop, whose turn now falls to the next.

--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -13,7 +13,7 @@
 import random
 from collections import deque
 from collections.abc import Iterator
-from itertools import accumulate, islice
+from itertools import accumulate, chain, islice
 
 from threadshift.interface import (
     MS, SECOND, Activation, Copy, Deployment, Do, Effect, Listing, Outcome, Report, Send, State, Step)
@@ -247,40 +247,41 @@
         return worker.holds(fn, now) or fn.kept and worker in fn.group
 
     def place(self, act: Activation, now: int) -> Worker | None:
-        fn = act.fn
-        fit = list(islice((one for one in self.walk(fn) if self.fit(one, act, now)), fn.width + REACH))
-        # A copy heard of since that send, as by our order after a 'miss', makes a worker worth trying again.
+        fn, stops, chosen = act.fn, [], None
+        ready = list(islice(self.walk(fn), fn.width + REACH))
+        group = ready[:fn.width]
+        fn.group = dict.fromkeys(group)
+        sizes = list(accumulate(worker.size for worker in group)) or [0.0]  # in turn, the larger more often
+        shift = min(bisect.bisect(sizes, act.turn * GOLDEN % 1.0 * sizes[-1]), len(sizes) - 1)
+        # Heard of a copy since, as by our order after a 'miss', a worker is worth trying again.
         tried = [send.worker for send in act.sends if not send.worker.holds(fn, send.at + self.keep)]
-        stops = [worker for worker in fit if worker not in tried] or fit
+        heft = max(1.0, self.expected(act) / act.kind.typical) / (SPARE if act.spare else 1.0)
+        turned = (one for one in chain(group[shift:], group[:shift], ready[fn.width:]) if one not in tried)
+        fit = (one for one in chain(turned, tried) if one.ready and self.fit(one, act, now))
+        for worker in islice(fit, REACH):
+            if stops and worker in tried:
+                break
+            stops.append(worker)
+            home = group[0] if fn.width > 1 else stops[0]
+            if self.stands(worker, fn, now) and worker.calls(fn) < fn.part and (
+                    self.room(worker, now, heft) or worker is home and self.age(home, now) >= 1
+                    and self.press(home, now) * heft <= 1 and len(worker.sends) < worker.limit):
+                chosen = worker
+                break
         if not stops:
-            # All look bad: a shared cause, so suspensions are set aside; cold workers stay guarded.
+            # All look bad, by a shared cause: suspensions are set aside; cold workers stay guarded.
             return next((worker for worker in self.walk(fn) if self.cold_room(worker, act, now)), None)
-        home, group = stops[0], stops[:fn.width]
-        sizes = list(accumulate(worker.size for worker in group))   # in turn, the larger the more often
-        shift = min(bisect.bisect(sizes, act.turn * GOLDEN % 1.0 * sizes[-1]), len(group) - 1)
-        stops = group[shift:] + group[:shift] + stops[fn.width:]
-        first = stops[0]
-        fn.group = group
-        warm = [worker for worker in stops if self.stands(worker, fn, now)]
+        first, warm = stops[0], [worker for worker in stops if self.stands(worker, fn, now)]
         if not warm:
             coming = next((worker for worker in stops if worker.loading(fn)), None)
             if coming is None and self.may_load():
                 return next((worker for worker in stops if self.room(worker, now)), home)
-            # More calls waiting for a load than lanes would make the worker start copy after copy.
             if coming is not None and coming.calls(fn) < fn.part:
                 return coming
             if len(fn.parked) < PARKED * fn.lanes and not act.spare:
-                fn.parked.append(act)
+                fn.parked.append(act)   # more waiting there than lanes would bring copy after copy
             return None
-        # Heavy calls, and those worth least, bear less company.
-        heft = max(1.0, self.expected(act) / act.kind.typical) / (SPARE if act.spare else 1.0)
-        for worker in warm:
-            if worker.calls(fn) < fn.part and (self.room(worker, now, heft) or (
-                    worker is home and self.age(home, now) >= 1 and self.press(home, now) * heft <= 1 and
-                    len(worker.sends) < worker.limit)):
-                chosen = worker
-                break
-        else:
+        if chosen is None:
             if act.spare:
                 return None
             first = next((worker for worker in stops if worker not in warm and self.room(worker, now)), first)
@@ -495,8 +496,8 @@
         worker.strikes += 1
         if worker.until > now or (worker.strikes < STRIKES and not worker.suspensions):
             return
-        worker.until = now + int(min(SUSPEND_MOST, SUSPEND << worker.suspensions) * (0.75 + 0.5 * self.chance()))
-        worker.suspensions += 1
+        length = min(SUSPEND_MOST, SUSPEND << worker.suspensions) * (0.75 + 0.5 * self.chance())
+        worker.until, worker.suspensions = now + int(length), worker.suspensions + 1
         worker.warm.clear()
 
     def patience(self, send: Send) -> float:
@@ -519,8 +520,7 @@
             if not any(worker.loading(fn) for worker in self.fleet):
                 self.wake(fn, now)
 
-    def move(self, send: Send, now: int) -> None:
-        """Off a suspended worker: cancel, so that the outcome brings the next send, or send a second."""
+    def move(self, send: Send, now: int) -> None:    # off a suspended worker
         act = send.act
         if act.answered or act.begun or act.out > 1 or act.kind.effect is not Effect.REPEATABLE or (
                 self.budget < 1 or act.due <= now or len(act.sends) >= self.max_sends):
--- a/threadshift/state.py
+++ b/threadshift/state.py
@@ -44,7 +44,7 @@
     asked: int = 0               # when it was last called
     pause: int = 0               # no load order before it
     width: int = 1               # stops that it is spread over
-    group: list[Worker] = field(default_factory=list)           # these stops, home first
+    group: dict[Worker, None] = field(default_factory=dict)     # these stops, home first
     kept: bool = False           # others' calls are taken to keep its copies at these stops
     parked: deque[Activation] = field(default_factory=deque)    # waiting here for a load or a lane
 
