What a worker may hold falls as usual answers pass the target latency

Change: the part of the usual is 1.25 or less, by the ease over the usual answer's share of the target. Acts only where reports count.

--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -444,7 +444,9 @@
         if told is None:
             return
         load = max(0.0, told - (report.loading or 0.0)) * self.mean_size / worker.size
-        usual = WAITING if report.waiting is not None else (1 + EPSILON) * max(1.0, self.mean_held)
+        # Where the usual answer is late, all hold too much: what may be held falls as answers lengthen.
+        part = min(1 + EPSILON, *(EASE * kind.target / kind.typical for kind in self.kinds.values()))
+        usual = WAITING if report.waiting is not None else max(1.0, self.mean_held * part)
         worker.load, worker.told = load / usual, now
         self.mean_held += TREND * (load - self.mean_held)
 
