--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -286,7 +286,7 @@
                 return None
             first = next((worker for worker in stops if worker not in warm and self.room(worker, now)), first)
             able = [one for one in warm if len(one.sends) < one.limit and (
-                self.press(one, now) * heft * EASE <= act.kind.grade)]
+                self.press(one, now) * heft * EASE <= (1.0 if self.blind else act.kind.grade))]
             able.sort(key=lambda one: (self.blind and self.press(one, now), len(one.sends) / one.limit))
             chosen = able[0] if able else next(
                 (worker for worker in stops if self.room(worker, now) and self.may_load(WIDEN)), None)
