--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -439,12 +439,11 @@
             self.strike(worker, now)
 
     def hear(self, worker: Worker, now: int, report: Report | None) -> None:
-        """Load is calls that wait, or else those held, not for loads, over the cap's part of the usual."""
+        """Load: calls that wait, or those held, but for loads, over the usual's part; less as answers lengthen."""
         told = report and (report.held if report.waiting is None else report.waiting)
         if told is None:
             return
         load = max(0.0, told - (report.loading or 0.0)) * self.mean_size / worker.size
-        # Where the usual answer is late, all hold too much: what may be held falls as answers lengthen.
         part = min(1 + EPSILON, *(EASE * kind.target / kind.typical for kind in self.kinds.values()))
         usual = WAITING if report.waiting is not None else max(1.0, self.mean_held * part)
         worker.load, worker.told = load / usual, now
@@ -463,10 +462,9 @@
         return True
 
     def told(self, now: int, name: str, outcome: Outcome, report: Report | None) -> list[Step]:
-        """What asking a worker brought; a probe turned away or lost tells as much as a long queue."""
         worker = self.workers[name]
         self.hear(worker, now, report)
-        if outcome is not Outcome.COMPLETED:
+        if outcome is not Outcome.COMPLETED:    # turned away or lost, it tells as much as a long queue
             worker.load, worker.told = SILENT, now
         self.may_ask -= 1 if worker.told < now else self.may_ask - UNTOLD   # some places' probes tell no load
         askers, worker.askers = worker.askers, []
