--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -439,7 +439,7 @@
             self.strike(worker, now)
 
     def hear(self, worker: Worker, now: int, report: Report | None) -> None:
-        """Load: calls that wait, or are held, but for loads, over the usual part; less as answers lengthen."""
+        """Load: calls that wait, or are held, but for loads, over the usual; less as answers lengthen."""
         told = report and (report.held if report.waiting is None else report.waiting)
         if told is None:
             return
