--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -2,7 +2,7 @@
 import unittest
 
 from tests.helpers import call, does, front_end, ready, sent
-from threadshift.interface import MS, SECOND, Copy, Do, Effect, NamespaceType, Outcome, State, Tenant
+from threadshift.interface import MS, SECOND, Copy, Do, Effect, NamespaceType, Outcome, Report, State, Tenant
 
 ONCE, AGAIN, MARKED = Effect.ONCE_ONLY, Effect.REPEATABLE, Effect.DEDUPLICATED
 
@@ -224,6 +224,57 @@
             self.assertEqual(len(finals), len(acts))
 
 
+class ManyFrontEnds(unittest.TestCase):
+    """A hundred front ends: each sees little of a worker, so it asks and reads reports."""
+
+    def front_end(self, **changes):
+        it = front_end(20, front_ends=100, may_probe=True, **changes)
+        for n in range(40):
+            it.take(n * MS, f"early{n}", AGAIN.value, f"fn{n}", SECOND).left(n * MS)
+        return it
+
+    def test_asks_first_and_walks_past_what_is_pressed(self):
+        # what the home asked tells (None: nothing in time, so it is a last choice), whether it gets the send
+        for report, there in ((Report(waiting=0.0), True), (Report(waiting=9.0), False), (None, True),
+                              (Report(waiting=9.0, loading=9.0), True), (Report(held=9.0), False),
+                              (Report(held=1.0), True)):
+            it = self.front_end()
+            act, steps = call(it, "a", SECOND, "f")
+            asked = [step.worker for step in steps if step.do is Do.ASK]
+            self.assertEqual((len(asked), sent(steps)), (1, []))
+            if report:
+                steps = it.told(SECOND + MS, asked[0], Outcome.COMPLETED, report)
+            else:
+                steps = it.tick(SECOND + 31 * MS)
+            on = sent(steps) or [step.worker for step in steps if step.do is Do.ASK]
+            self.assertEqual(on == asked, there, report)
+
+    def test_asking_ends_where_probes_tell_no_load_and_never_starts_with_few_front_ends(self):
+        it = self.front_end()
+        for n in range(41):
+            _, steps = call(it, f"c{n}", SECOND + n * SECOND, f"g{n}")
+            asked = [step.worker for step in steps if step.do is Do.ASK]
+            self.assertEqual(len(asked), n < 40, n)
+            for name in asked:
+                it.told(SECOND + n * SECOND, name, Outcome.COMPLETED, None)
+        self.assertEqual(does(call(front_end(may_probe=True, front_ends=3))[1]), [Do.SEND])
+
+    def test_answered_while_it_waits_for_a_report(self):
+        it = self.front_end()
+        act, steps = call(it, "a", SECOND, "f", left=20 * MS)
+        while not act.answered:
+            self.assertLess(it.due(), SECOND + 20 * MS)
+            steps += it.tick(max(SECOND, it.due()))
+        self.assertEqual([do for do in does(steps) if do is not Do.ASK], [Do.REJECT])
+        asked = act.asked
+        self.assertEqual(it.told(2 * SECOND, asked.name, Outcome.COMPLETED, Report(waiting=0.0)), [])
+
+    def test_loads_at_once_are_bounded_over_all(self):
+        # front ends, loads that each may have out on twenty workers
+        for fronts, most in ((1, 20), (3, 20), (20, 3), (200, 1)):
+            self.assertEqual(front_end(20, front_ends=fronts).most_loads, most)
+
+
 class Trouble(unittest.TestCase):
     def test_failures_in_a_row_suspend_and_a_trial_readmits(self):
         for outcome in (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR):
