Memory at work stands for calls held where reports do not tell those

Change: the share of memory at work or loading, told there, stands for what is held (ten calls fill it, roughly; only its ratio to the usual counts); waiting still presses by itself. Guards against any worker slow with many in work.

--- a/threadshift/adapter/host.py
+++ b/threadshift/adapter/host.py
@@ -88,7 +88,7 @@
         except ValueError:
             continue
     return Report(told.get("backlog"), told.get("outstanding"), told.get("utilization"),
-                  told.get("x1")) if told else None
+                  told.get("x1"), told.get("x0")) if told else None
 
 
 def outcome(event: Fields) -> Outcome:
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -29,7 +29,7 @@
 SLICE, KNOWN = 0.25, 2.0   # of a worker's mean load that a function brings to each stop; with one front end
 KEPT = 3.0                 # calls by others, within the time an idle copy stays, that are taken to keep one
 REPORT_KEEP, FRESH_FOR = 3 * SECOND, 300 * MS      # a report counts so long; no new one is asked for so long
-WAITING, SILENT = 2.0, 2.0     # calls waiting that tell a pressed worker; load taken where no report comes
+WAITING, SILENT, PINNED = 2.0, 2.0, 10.0   # calls waiting that press; load if silent; calls that fill memory
 ASKS, ASK_WAIT, UNTOLD = 4, 30 * MS, 40    # stops asked a call; later, it is busy; so many told none: no more
 TURNS, GOLDEN = 1 << 20, 0.6180339887  # where front ends' turns begin, by chance; step, even at any length
 ROUND = 100 * MS           # period of the health round; a small part of any target latency in sight
@@ -440,13 +440,13 @@
 
     def hear(self, worker: Worker, now: int, report: Report | None) -> None:
         """Load: calls that wait, or are held, but for loads, over the usual; less as answers lengthen."""
-        told = report and (report.held if report.waiting is None else report.waiting)
-        if told is None:
+        told = (report.held, report.pinned and PINNED * report.pinned, report.waiting) if report else ()
+        if (held := next((each for each in told if each is not None), None)) is None:
             return
-        load = max(0.0, told - (report.loading or 0.0)) * self.mean_size / worker.size
+        rate, loading = self.mean_size / worker.size, report.loading or 0.0
+        load, waits = (max(0.0, each - loading) * rate for each in (held, report.waiting or 0.0))
         part = min(1 + EPSILON, *(EASE * kind.target / kind.typical for kind in self.kinds.values()))
-        usual = WAITING if report.waiting is not None else max(1.0, self.mean_held * part)
-        worker.load, worker.told = load / usual, now
+        worker.load, worker.told = max(load / max(1.0, self.mean_held * part), waits / WAITING), now
         self.mean_held += TREND * (load - self.mean_held)
 
     def ask(self, worker: Worker, act: Activation, now: int) -> bool:
--- a/threadshift/interface.py
+++ b/threadshift/interface.py
@@ -82,6 +82,7 @@
     held: float | None = None        # activations in all
     busy: float | None = None        # share of its cores
     loading: float | None = None     # loads under way or waiting
+    pinned: float | None = None      # share of its memory at work or loading
 
 
 class NamespaceType(NamedTuple):
