Tidy: sketches that are two from the start, a plain count of empty probes, a bounded shift

The two sketches shared one object at first and were told apart by a set at each call; the counter of probes without a load was written as a difference; doubling a suspension had lost its bound on the exponent, which would grow without end at a worker dead for long.

--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -58,6 +58,7 @@
 
 
 class Dispatcher(Memory):
+    """One front end's decisions."""
 
     def __init__(self, seed: int, told: Deployment, now: int):
         super().__init__(done_at=now)
@@ -77,7 +78,7 @@
                        for each in told.tenants if each.per_second > 0}     # ns a call within our part takes
         self.blind = told.front_ends * (1 + EPSILON) > FIRST_LIMIT      # caps of all together bound no load
         self.may_ask = UNTOLD if told.may_probe and self.blind else 0
-        self.sketch = self.before = Sketch(SKETCH_DEPTH, SKETCH_WIDTH, now)
+        self.before, self.sketch = (Sketch(SKETCH_DEPTH, SKETCH_WIDTH, now) for _ in range(2))
         self.next_round, self.budget, self.load_base = now + ROUND, BUDGET_MOST / 2, float(LOAD_START)
 
     def steps(self, decide, *args) -> list[Step]:
@@ -187,9 +188,8 @@
 
         The less one front end sees, the thinner: all would send to the same three of a hundred workers. And
         where it sees little of a stop, what all others send there keeps a copy: the ring is evidence."""
-        counts = {self.before, self.sketch}
-        seen = sum(each.count(fn.cells) for each in counts)
-        share = (seen - 1) / (sum(each.total for each in counts) + SKETCH_PRIOR)
+        seen = self.before.count(fn.cells) + self.sketch.count(fn.cells)
+        share = (seen - 1) / (self.before.total + self.sketch.total + SKETCH_PRIOR)
         part = share * len(self.fleet) * kind.units / self.units
         fn.width = max(1 + (share > HOT_SHARE) + (share > 2 * HOT_SHARE),
                        round(part / max(SLICE, KNOWN / self.front_ends)))
@@ -466,7 +466,7 @@
         self.hear(worker, now, report)
         if outcome is not Outcome.COMPLETED:    # turned away or lost, it tells as much as a long queue
             worker.load, worker.told = SILENT, now
-        self.may_ask -= 1 if worker.told < now else self.may_ask - UNTOLD   # some places' probes tell no load
+        self.may_ask = UNTOLD if worker.told == now else self.may_ask - 1   # some places' probes tell no load
         askers, worker.askers = worker.askers, []
         return self.steps(lambda: [self.go_on(act, now) for act in askers if act.asked is worker])
 
@@ -496,7 +496,7 @@
         worker.strikes += 1
         if worker.until > now or (worker.strikes < STRIKES and not worker.suspensions):
             return
-        length = min(SUSPEND_MOST, SUSPEND << worker.suspensions) * (0.75 + 0.5 * self.chance())
+        length = min(SUSPEND_MOST, SUSPEND << min(worker.suspensions, 8)) * (0.75 + 0.5 * self.chance())
         worker.until, worker.suspensions = now + int(length), worker.suspensions + 1
         worker.warm.clear()
 
