--- /dev/null
+++ b/threadshift/__main__.py
@@ -0,0 +1,4 @@
+"""python -m threadshift"""
+from threadshift.cli import main
+
+main()
--- /dev/null
+++ b/threadshift/cli.py
@@ -0,0 +1,226 @@
+"""The command line: threadshift COMMAND. Errors are one line on standard error and a non-zero exit."""
+from __future__ import annotations
+
+import json
+import signal
+import sys
+import time
+
+import click
+
+from threadshift.conf import installation, values
+from threadshift.conf.installation import Installation
+from threadshift.conf.reading import Mistake
+
+
+class Of(click.ParamType):
+    """A parameter read by one of the configuration's own readers."""
+
+    def __init__(self, name: str, read):
+        self.name, self.read = name, read
+
+    def convert(self, value, param, ctx):
+        if not isinstance(value, str):
+            return value
+        try:
+            return self.read(value)
+        except ValueError as problem:
+            self.fail(f"'{value}': {problem}", param, ctx)
+
+
+ADDRESS, TIME = Of("address", values.address), Of("time", values.duration)
+
+
+def told(path: str) -> Installation:
+    try:
+        return installation.read(path)
+    except Mistake as problem:
+        raise SystemExit(f"threadshift: {problem}") from None
+
+
+@click.group()
+@click.version_option(package_name="threadshift", message="%(version)s")
+def main() -> None:
+    """A gateway that runs calls of many small functions on workers which load them on demand."""
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+def check(file: str) -> None:
+    """Reads FILE and says what is wrong with it, if anything."""
+    it = told(file)
+    click.echo(f"{file}: good; {len(it.deployment.types)} types, {len(it.functions)} classes of functions, "
+               f"{it.front_ends} front end{'s' * (it.front_ends > 1)} on {', '.join(map(str, it.listen))}")
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+def run(file: str) -> None:
+    """Runs the gateway by FILE, in the foreground, until SIGTERM."""
+    from threadshift.gateway.supervisor import Supervisor
+    from threadshift.log import Log
+    it = told(file)
+    log = Log(it.log_form, it.log_level, it.bounds.log_lines, front_end="supervisor")
+    try:
+        sys.exit(Supervisor(it, log).run())
+    finally:
+        log.close()
+
+
+@main.command("front-end", hidden=True)
+@click.argument("file", type=click.Path())
+@click.option("--index", type=int, default=0)
+@click.option("--seed", type=int, default=None)
+def front_end(file: str, index: int, seed: int | None) -> None:
+    """One front end process; `run` starts them."""
+    signal.pthread_sigmask(signal.SIG_SETMASK, [])
+    import gevent
+    from gevent.fileobject import FileObject
+
+    from threadshift.gateway.front_end import FrontEnd
+    from threadshift.log import Log
+    it = told(file)
+    log = Log(it.log_form, it.log_level, it.bounds.log_lines, front_end=f"{it.name}-{index}")
+    front = FrontEnd(it, index, log, seed)
+
+    def parent_gone() -> None:
+        while FileObject(sys.stdin.buffer, "rb").read(1):
+            pass
+        front.end()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, front.end)
+    gevent.signal_handler(signal.SIGHUP, front.reload)
+    watch = gevent.spawn(parent_gone)
+    try:
+        front.run()
+    except OSError as problem:
+        log.note("cannot-start", level="error", problem=str(problem))
+        raise SystemExit(f"threadshift: cannot listen: {problem}") from None
+    finally:
+        watch.kill()
+        log.close()
+
+
+@main.command()
+@click.argument("function")
+@click.argument("body", required=False)
+@click.option("--to", type=ADDRESS, default="127.0.0.1:8080", help="The gateway's address.")
+@click.option("--left", type=TIME, default=None, help="Time left, such as 800ms.")
+@click.option("--tenant", default=None)
+@click.option("--mark", default=None, help="Idempotency key.")
+@click.option("--deferred", is_flag=True, help="Ask for a deferred call, then wait for its answer.")
+def call(function: str, body: str | None, to, left, tenant, mark, deferred: bool) -> None:
+    """Calls FUNCTION with BODY, or with standard input; prints the answer."""
+    from threadshift.invoke.client import Client, NoAnswer
+    data = body.encode() if body is not None else sys.stdin.buffer.read()
+    headers = {"Time-Left": left and str(left // 1_000_000), "Tenant": tenant, "Idempotency-Key": mark,
+               "Prefer": "respond-async" if deferred else None}
+    client = Client(to)
+    try:
+        answer = client.ask("POST", f"/v1/functions/{function}/calls", headers, data)
+        until = time.monotonic() + 60
+        while answer.status == 202 and time.monotonic() < until:
+            answer = client.ask("GET", f"/v1/calls/{answer.headers['activation']}", {"Prefer": "wait=10"})
+    except NoAnswer as problem:
+        raise SystemExit(f"threadshift: {to}: {problem}") from None
+    sys.stdout.buffer.write(answer.body + b"\n" * (not answer.body.endswith(b"\n")))
+    if answer.status != 200:
+        raise SystemExit(f"threadshift: {answer.status} {answer.headers.get('final', 'not taken')}")
+
+
+@main.command()
+@click.option("--to", type=ADDRESS, default="127.0.0.1:8080", help="The gateway's address.")
+@click.option("--json", "plain", is_flag=True, help="The whole of it, as JSON.")
+def status(to, plain: bool) -> None:
+    """Shows what a front end knows of itself and its workers."""
+    from threadshift.invoke.client import Client, NoAnswer
+    try:
+        told = json.loads(Client(to).ask("GET", "/v1/status").body)
+    except NoAnswer as problem:
+        raise SystemExit(f"threadshift: {to}: {problem}") from None
+    if plain:
+        click.echo(json.dumps(told, indent=2))
+        return
+    click.echo(f"{told['front-end']}  up {told['up-s']:.0f} s  owed {told['owed']}  connections {told['connections']}"
+               f"  lag {told['lag-ms']} ms  roster {told['roster']['age-s']} s ago")
+    for name, count in told["counts"].items():
+        click.echo(f"  {name:24}{count}")
+    for name, one in told["workers"].items():
+        click.echo(f"  {name:16}{one['state']:10}{'linked' if one['link'] else 'no link':9}"
+                   f"in flight {one['in-flight']:<4} copies {one['copies-believed']:<4} pace {one['pace']:<6}"
+                   f" suspended {one['suspended-ms']} ms")
+
+
+@main.group()
+def standin() -> None:
+    """Stand-ins of our own for what stands around a gateway; each takes orders for faults on standard input."""
+
+
+def attend(server) -> None:
+    """Runs a stand-in until its standard input ends or it is told to stop."""
+    import gevent
+
+    from threadshift.standins.common import follow_orders
+    server.start()
+    orders = gevent.spawn(follow_orders, server.obey)
+    gevent.signal_handler(signal.SIGTERM, orders.kill)
+    gevent.signal_handler(signal.SIGINT, orders.kill)
+    print(f"listening {server.address}", flush=True)
+    orders.join()
+    server.stop()
+
+
+RECORD = click.option("--record", type=click.Path(), default=None, help="Where to record what crosses the sockets.")
+LISTEN = click.option("--listen", type=ADDRESS, required=True)
+
+
+@standin.command()
+@LISTEN
+@RECORD
+@click.option("--name", required=True)
+@click.option("--store", type=ADDRESS, required=True)
+@click.option("--zone", default="")
+@click.option("--size", type=float, default=1.0)
+@click.option("--cores", type=int, default=2)
+@click.option("--memory-mb", type=float, default=4096)
+@click.option("--keep", type=TIME, default="10s")
+@click.option("--cold-share", type=float, default=1.0)
+@click.option("--cold-time", type=TIME, default="0s")
+@click.option("--fall-multiple", type=float, default=1e9)
+@click.option("--fall-time", type=TIME, default="1s")
+@click.option("--report-every", type=TIME, default="200ms")
+@click.option("--miss", is_flag=True, help="Answer 'miss' instead of loading while the call waits.")
+def worker(listen, record, name, store, zone, size, cores, memory_mb, keep, cold_share, cold_time, fall_multiple,
+           fall_time, report_every, miss) -> None:
+    """A worker."""
+    from threadshift.standins.common import Record
+    from threadshift.standins.worker import Machine, Worker
+    machine = Machine(name, zone, size, cores, memory_mb, keep=keep, cold_share=cold_share, cold_time=cold_time,
+                      fall_multiple=fall_multiple, fall_time=fall_time, report_every=report_every,
+                      loads_on_miss=not miss)
+    attend(Worker(listen, machine, store, Record(record, worker=name)))
+
+
+@standin.command()
+@LISTEN
+@RECORD
+@click.option("--capacity", type=float, default=8, help="Fetches at a time before it slows down.")
+@click.option("--work-ms", type=float, default=40)
+@click.option("--memory-mb", type=float, default=200)
+@click.option("--load-ms", type=float, default=400)
+def store(listen, record, capacity, work_ms, memory_mb, load_ms) -> None:
+    """A pack store; figures are those of a mean function."""
+    from threadshift.standins.common import Record
+    from threadshift.standins.store import PackStore
+    attend(PackStore(listen, capacity, work_ms, memory_mb, load_ms, Record(record)))
+
+
+@standin.command()
+@LISTEN
+@RECORD
+def roster(listen, record) -> None:
+    """A roster feed."""
+    from threadshift.standins.common import Record
+    from threadshift.standins.feed import RosterFeed
+    attend(RosterFeed(listen, Record(record)))
--- /dev/null
+++ b/threadshift/desk/desk.py
@@ -0,0 +1,318 @@
+"""Drives one Dispatcher without sockets, clocks or greenlets: calls in, steps out to ports.
+
+Make a Desk(dispatcher, workers, clients). take() gives a Held, the caller's handle; its returned() and left() tell
+what became of it. held() and told() bring answers to load orders and questions. tick() is wanted when due() has come.
+Every call takes `now`, whole ns of a clock that does not go back; a `now` before the last one counts as the last one.
+
+What the desk adds to the decisions is only what the bench's wire did for them: the first completed answer is handed
+on and is final; a send with no outcome at the end of its activation's time ends as a time-out; a cancelled send ends
+at once; an order or a question that nobody answers ends as a time-out. The same calls bring the same steps.
+"""
+from __future__ import annotations
+
+import heapq
+from collections import Counter, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from itertools import count
+from typing import Any, NamedTuple, Protocol
+
+from threadshift.choice import NEVER_RAN, Dispatcher
+from threadshift.interface import SECOND, Activation, Copy, Do, Effect, Listing, Outcome, Report, Step
+
+ASK_WAIT = SECOND          # a question that nobody answered so long is lost; far above any answer on a network
+
+
+class Final(Enum):
+    """The three final answers."""
+
+    COMPLETED = "completed"
+    REJECTED = "rejected"
+    ABORTED = "aborted"
+
+
+class Answer(NamedTuple):
+    """A final answer. `reason` is one word for logs and clients."""
+
+    final: Final
+    reason: str
+    body: bytes = b""
+    error: str = ""              # the function's own error, by name; the call completed all the same
+    come_back: int = 0           # ns; 0: no advice
+    may_have_run: bool = False
+
+
+class Call(NamedTuple):
+    """What a client asks for."""
+
+    type: str
+    function: str
+    left: int                    # ns until its client gives up
+    body: bytes = b""
+    tenant: str = ""
+    mark: str = ""               # by which a repeat of a deduplicated call is known
+    work: int = 0                # cost hint in ns
+    lanes: int = 1
+    load_time: int = 0
+    again: bool = False          # a repetition by the client
+
+
+@dataclass(slots=True, eq=False)
+class Sent:
+    """One send as it left: where to, when, and how it ended."""
+
+    worker: str
+    at: int
+    outcome: Outcome | None = None
+    copy: Copy = Copy.UNTOLD
+    waited: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """The handle of one activation taken."""
+
+    desk: Desk
+    ivk: str
+    call: Call
+    taken: int
+    deadline: int
+    act: Activation = field(init=False)
+    sends: list[Sent] = field(default_factory=list)
+    answer: Answer | None = None
+    answered_at: int = 0
+    gone: bool = False           # its client quit first
+    client: Any = None           # whatever the clients' port keeps with it
+
+    def returned(self, now: int, number: int, outcome: Outcome, *, body: bytes = b"", error: str = "",
+                 copy: Copy = Copy.UNTOLD, report: Report | None = None) -> None:
+        """A send ended. What comes for a send that has ended before is counted and dropped."""
+        self.desk.ended(self, now, number, outcome, body, error, copy, report)
+
+    def left(self, now: int) -> None:
+        """The client is gone; no answer is owed."""
+        self.desk.quit(self, now)
+
+    def time_left(self, now: int) -> int:
+        return self.deadline - now
+
+    @property
+    def settled(self) -> bool:
+        return self.answer is not None or self.gone
+
+
+@dataclass(slots=True, eq=False)
+class Asked:
+    """A load order (fn set) or a question for a report, on its way to a worker."""
+
+    desk: Desk
+    worker: str
+    fn: str = ""
+    over: bool = False
+
+    def answered(self, now: int, outcome: Outcome, *, copies: int = 0, report: Report | None = None) -> None:
+        self.desk.replied(self, now, outcome, copies, report)
+
+
+class Workers(Protocol):
+    """What carries steps to workers. An outcome handed back at once means that nothing will follow."""
+
+    def send(self, worker: str, held: Held, number: int) -> Outcome | None: ...
+    def cancel(self, worker: str, held: Held, number: int, tell: bool) -> Outcome: ...
+    def hold(self, worker: str, order: Asked) -> Outcome | None: ...
+    def ask(self, worker: str, question: Asked) -> Outcome | None: ...
+
+
+class Clients(Protocol):
+    """What takes final answers to clients, and hears when nothing more can come for a handle."""
+
+    def answered(self, held: Held) -> None: ...
+    def over(self, held: Held) -> None: ...
+
+
+class Desk:
+    """The only owner of a Dispatcher."""
+
+    def __init__(self, dispatcher: Dispatcher, workers: Workers, clients: Clients, order_wait: int = 10 * SECOND):
+        self.dispatcher, self.workers, self.clients, self.order_wait = dispatcher, workers, clients, order_wait
+        self.now = 0
+        self.held: dict[str, Held] = {}         # answer owed, or sends out
+        self.owed = 0                           # of them, without their final answer
+        self.times: list[tuple[int, int, Held | Asked]] = []    # (due, serial, what ends then)
+        self.serial = count().__next__
+        self.todo: deque[Step] = deque()
+        self.busy = False
+        self.counts: Counter[str] = Counter()
+
+    # What comes in.
+
+    def take(self, now: int, ivk: str, call: Call, client: Any = None) -> Held:
+        """A call is taken: from here on it is owed one final answer. Its type must be known."""
+        now = self.clock(now)
+        held = Held(self, ivk, call, now, now + max(0, call.left), client=client)
+        held.act = self.dispatcher.take(
+            now, ivk, call.type, call.function, call.left, tenant=call.tenant, work=call.work, lanes=call.lanes,
+            load_time=call.load_time, again=call.again)
+        self.held[ivk] = held
+        self.owed += 1
+        self.counts["taken"] += 1
+        heapq.heappush(self.times, (held.deadline, self.serial(), held))
+        self.carry(now, held.act.start(now))
+        return held
+
+    def roster(self, now: int, listings: list[Listing], full: bool) -> None:
+        now = self.clock(now)
+        self.carry(now, self.dispatcher.roster(now, listings, full))
+
+    def due(self) -> int:
+        while self.times and self.past(self.times[0][2]):
+            heapq.heappop(self.times)
+        return min(self.dispatcher.due(), self.times[0][0]) if self.times else self.dispatcher.due()
+
+    def tick(self, now: int) -> None:
+        """All that time alone ends by now: activations without an answer first, then sends, orders, questions."""
+        now = self.clock(now)
+        self.carry(now, self.dispatcher.tick(now))
+        while self.times and self.times[0][0] <= now:
+            _, _, what = heapq.heappop(self.times)
+            if isinstance(what, Held):
+                self.time_up(what, now)
+            elif not what.over:
+                what.answered(now, Outcome.TIMEOUT)
+
+    # What handles pass on.
+
+    def ended(self, held: Held, now: int, number: int, outcome: Outcome, body: bytes = b"", error: str = "",
+              copy: Copy = Copy.UNTOLD, report: Report | None = None) -> None:
+        now, sent = self.clock(now), held.sends[number]
+        if sent.outcome is not None:
+            self.counts["late"] += 1
+            return
+        sent.outcome, sent.copy, sent.waited = outcome, copy, now - sent.at
+        self.counts[outcome.value] += 1
+        final = outcome is Outcome.COMPLETED and not held.settled and now <= held.deadline
+        if final:
+            self.finish(held, now, Answer(Final.COMPLETED, "completed", body, error))
+        self.carry(now, held.act.returned(now, number, outcome, sent.waited, copy=copy, final=final,
+                                          report=report))
+        self.let_go(held)
+
+    def quit(self, held: Held, now: int) -> None:
+        if held.settled:
+            return
+        now, held.gone = self.clock(now), True
+        self.owed -= 1
+        self.counts["left"] += 1
+        self.carry(now, held.act.left(now))
+        self.let_go(held)
+
+    def replied(self, asked: Asked, now: int, outcome: Outcome, copies: int, report: Report | None) -> None:
+        if asked.over:
+            return
+        now, asked.over = self.clock(now), True
+        self.carry(now, self.dispatcher.held(now, asked.worker, asked.fn, outcome, copies) if asked.fn
+                   else self.dispatcher.told(now, asked.worker, outcome, report))
+
+    # What goes out.
+
+    def carry(self, now: int, steps: Iterable[Step]) -> None:
+        """Carries out steps in order. What a port answers at once is heard after the steps before it."""
+        self.todo.extend(steps)
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.todo:
+                self.step(self.todo.popleft(), now)
+        finally:
+            self.busy = False
+
+    def step(self, step: Step, now: int) -> None:
+        held = self.held.get(step.act.ivk) if step.act else None
+        if step.do is Do.SEND and held:
+            number = len(held.sends)
+            held.sends.append(Sent(step.worker, now))
+            self.counts["sends"] += 1
+            # Nothing leaves for an activation that has its answer, whatever order the steps came in.
+            outcome = Outcome.MOOT if held.settled else self.workers.send(step.worker, held, number)
+            if outcome is not None:
+                self.ended(held, now, number, outcome)
+        elif step.do is Do.CANCEL and held:
+            self.call_off(held, now, step.amount, tell=True)
+        elif step.do in (Do.REJECT, Do.ABORT) and held:
+            if not held.settled:
+                self.finish(held, now, refusal(held, step, now))
+            self.let_go(held)
+        elif step.do is Do.HOLD:
+            self.put(Asked(self, step.worker, step.fn), now, self.order_wait, self.workers.hold)
+        elif step.do is Do.ASK:
+            self.put(Asked(self, step.worker), now, ASK_WAIT, self.workers.ask)
+
+    def put(self, asked: Asked, now: int, wait: int, port: Any) -> None:
+        self.counts["orders" if asked.fn else "questions"] += 1
+        heapq.heappush(self.times, (now + wait, self.serial(), asked))
+        outcome = port(asked.worker, asked)
+        if outcome is not None:
+            self.replied(asked, now, outcome, 0, None)
+
+    def call_off(self, held: Held, now: int, number: int, tell: bool) -> None:
+        """Ends a send that has no outcome; one still in our own buffer never ran."""
+        sent = held.sends[number]
+        if sent.outcome is None:
+            outcome = self.workers.cancel(sent.worker, held, number, tell)
+            self.ended(held, now, number, outcome if tell or outcome is Outcome.MOOT else Outcome.TIMEOUT)
+
+    def time_up(self, held: Held, now: int) -> None:
+        for number, sent in enumerate(held.sends):
+            if sent.outcome is None:
+                self.call_off(held, now, number, tell=False)
+        if not held.settled:
+            # The dispatcher answers two ticks earlier; this stands against a fault there, loudly in the counts.
+            self.counts["overdue"] += 1
+            self.finish(held, now, Answer(Final.ABORTED, "overdue", may_have_run=may_have_run(held)))
+            self.carry(now, held.act.left(now))
+        self.let_go(held)
+
+    def finish(self, held: Held, now: int, answer: Answer) -> None:
+        """The one place where a client is answered."""
+        held.answer, held.answered_at = answer, now
+        self.owed -= 1
+        self.counts[f"answered {answer.final.value}"] += 1
+        self.clients.answered(held)
+
+    def let_go(self, held: Held) -> None:
+        if held.settled and held.act.over and self.held.pop(held.ivk, None):
+            self.clients.over(held)
+
+    # Small things.
+
+    def clock(self, now: int) -> int:
+        self.now = max(self.now, now)
+        return self.now
+
+    @staticmethod
+    def past(what: Held | Asked) -> bool:
+        return what.over if isinstance(what, Asked) else what.settled and what.act.over
+
+
+def may_have_run(held: Held) -> bool:
+    """Whether any of its sends may have run, by how they ended so far."""
+    return any(sent.outcome not in NEVER_RAN for sent in held.sends)
+
+
+def refusal(held: Held, step: Step, now: int) -> Answer:
+    """A rejection or an abort with its reason, by what was seen last."""
+    last = held.sends[-1].outcome if held.sends else None
+    if held.act.due <= now:
+        reason = "time-up"
+    elif held.sends:
+        reason = f"last-send-{last.value.replace(' ', '-')}" if last else "send-under-way"
+    else:
+        reason = "over-share" if held.act.spare else "no-room"
+    ran = may_have_run(held)
+    if step.do is Do.ABORT:
+        return Answer(Final.ABORTED, reason, may_have_run=ran)
+    # A repeatable call may be tried again although it ran; the client is told both.
+    return Answer(Final.REJECTED, reason, come_back=step.amount,
+                  may_have_run=ran and held.act.kind.effect is not Effect.ONCE_ONLY)
--- /dev/null
+++ b/threadshift/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: starts, wires, drains and stops front ends."""
--- /dev/null
+++ b/threadshift/gateway/front_end.py
@@ -0,0 +1,273 @@
+"""One front end process: listeners, links, roster and the one timer around a desk.
+
+Nothing here decides. run() returns once the front end was told to end and has drained, or its time for that is up.
+"""
+from __future__ import annotations
+
+import os
+import random
+import time
+from contextlib import suppress
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+from gevent.pool import Group
+
+from threadshift.choice import Dispatcher
+from threadshift.conf import installation
+from threadshift.conf.installation import Installation
+from threadshift.conf.reading import Mistake
+from threadshift.conf.values import Address
+from threadshift.desk.desk import Asked, Desk, Held
+from threadshift.interface import MS, SECOND, Outcome, State
+from threadshift.invoke.admission import PERIOD, Admission
+from threadshift.invoke.api import Invoke
+from threadshift.invoke.deferred import InMemory
+from threadshift.invoke.http import Connection
+from threadshift.links.codec import Frame
+from threadshift.links.link import Link
+from threadshift.links.sockets import listener
+from threadshift.log import Log
+from threadshift.roster.membership import Entry, Membership
+from threadshift.roster.sources import Feed, WatchedFile
+
+STALL = 100 * MS           # a timer so late means that the process stood still; logged
+ACCEPT_PAUSE = 100 * MS    # after an accept that failed for want of descriptors
+FULL = (b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nFinal: rejected\r\n"
+        b"Content-Length: 0\r\nConnection: close\r\n\r\n")
+
+
+class FrontEnd:
+    """Carries steps to links and answers to the desk; owns every greenlet of the process."""
+
+    def __init__(self, told: Installation, index: int, log: Log, seed: int | None = None):
+        now = time.monotonic_ns()
+        self.told, self.index, self.log = told, index, log
+        self.name = f"{told.name}-{index}" if told.front_ends > 1 else told.name
+        chance = random.Random(seed if seed is not None else random.SystemRandom().getrandbits(63))
+        self.chance = chance.random
+        bounds = told.bounds
+        self.own = Address(told.listen[0].host, told.own_ports + index) if told.own_ports else None
+        self.deferrals = InMemory(bounds.deferred, bounds.results, bounds.keep_results)
+        self.admission = Admission()
+        self.api = Invoke(told, self.name, f"http://{self.own}" if self.own else "", self.deferrals,
+                          self.admission, log, self.status)
+        self.desk = self.api.desk = Desk(Dispatcher(chance.getrandbits(63), told.deployment, now), self, self.api,
+                                         bounds.load_order)
+        self.membership = Membership(told.deployment.drain_grace)
+        self.links: dict[str, Link] = {}
+        self.listeners: list[socket.socket] = []
+        self.connections = Group()
+        self.greenlets = Group()
+        self.ending = Event()
+        self.stalls, self.longest_stall, self.started = 0, 0, now
+        self.roster_said = 0
+
+    # The desk's port to workers.
+
+    def send(self, worker: str, held: Held, number: int) -> Outcome | None:
+        link = self.links.get(worker)
+        left = held.time_left(time.monotonic_ns())
+        return Outcome.UNREACHABLE if link is None else link.invoke(held, number, left)
+
+    def cancel(self, worker: str, held: Held, number: int, tell: bool) -> Outcome:
+        link = self.links.get(worker)
+        return Outcome.CANCELLED if link is None else link.cancel(held, number, tell)
+
+    def hold(self, worker: str, order: Asked) -> Outcome | None:
+        link = self.links.get(worker)
+        return Outcome.UNREACHABLE if link is None else link.order(order)
+
+    def ask(self, worker: str, question: Asked) -> Outcome | None:
+        link = self.links.get(worker)
+        return Outcome.UNREACHABLE if link is None else link.ask(question)
+
+    # What links and the roster tell.
+
+    def hello(self, worker: str, hello: Frame) -> str:
+        """A worker's hello; what is wrong with it, if anything."""
+        if hello["name"] != worker:
+            return f"this is {worker}'s address, and you are {hello['name'][:64]!r}"
+        started = hello.get("started", 0)
+        if not isinstance(started, int) or started < 0:
+            return "'started' is not a time"
+        self.told_of(self.membership.hello(time.monotonic_ns(), time.time_ns(), worker, started))
+        self.note("link-up", worker=worker, level="debug")
+        if hello.get("draining"):
+            self.draining(worker)
+        return ""
+
+    def draining(self, worker: str) -> None:
+        listings = self.membership.draining(worker)
+        if listings:
+            self.note("worker-drains", worker=worker)
+        self.told_of(listings)
+
+    def listed(self, entries: list[Entry], full: bool) -> None:
+        now = self.roster_said = time.monotonic_ns()
+        before = self.membership.empty_since
+        listings = self.membership.listed(now, time.time_ns(), entries, full)
+        if self.membership.empty_since is not None and before is None:
+            self.note("roster-empty", level="warning", held_ms=self.membership.grace // 2 // MS)
+        for each in entries:
+            self.dial(each)
+        self.told_of(listings)
+
+    def dial(self, it: Entry) -> None:
+        """A link to each listed worker, at the address that the roster has now."""
+        link = self.links.get(it.worker)
+        if link is not None and link.address != it.address:
+            self.links.pop(it.worker).stop()
+            link = None
+        if link is None and it.state is not State.GONE:
+            self.links[it.worker] = Link(it.worker, it.address, self.told.bounds, self.name, self, self.chance)
+
+    def told_of(self, listings: list) -> None:
+        if listings:
+            self.desk.roster(time.monotonic_ns(), listings, full=False)
+
+    def note(self, event: str, **fields: Any) -> None:
+        self.log.note(event, **fields)
+
+    # Running.
+
+    def run(self) -> None:
+        """Serves until end() was called and what is held has its answers."""
+        shared = self.told.front_ends > 1
+        for address in [*self.told.listen, *([self.own] if self.own else [])]:
+            sock = listener(address, shared and address is not self.own)
+            self.listeners.append(sock)
+            self.greenlets.spawn(self.accept, sock)
+        if self.told.roster_kind == "feed":
+            self.greenlets.spawn(Feed(self.told.roster_at, self.name, self.told.bounds, self, self.chance).run)
+        else:
+            self.greenlets.spawn(WatchedFile(str(self.told.roster_at), self).run)
+        timer = self.greenlets.spawn(self.timer)
+        timer.link_exception(lambda failed: self.failed(failed))
+        self.note("started", listen=[str(each) for each in self.told.listen], pid=os.getpid())
+        self.ending.wait()
+        self.drain()
+
+    def failed(self, greenlet: Any) -> None:
+        """A fault of ours ends the process loudly: half a front end is worse than none."""
+        self.note("fault", level="error", problem=repr(greenlet.exception))
+        self.log.close()
+        os._exit(70)
+
+    def end(self) -> None:
+        self.ending.set()
+
+    def accept(self, sock: socket.socket) -> None:
+        while True:
+            try:
+                client, _ = sock.accept()
+            except OSError as problem:
+                if sock.closed or sock.fileno() < 0:
+                    return
+                self.note("accept-failed", level="warning", problem=str(problem))
+                gevent.sleep(ACCEPT_PAUSE / SECOND)
+                continue
+            if len(self.connections) >= self.told.bounds.connections:
+                with suppress(OSError):
+                    client.settimeout(0)
+                    client.send(FULL)
+                client.close()
+                continue
+            if not sock.family == socket.AF_UNIX:
+                client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.connections.spawn(self.converse, client)
+
+    def converse(self, client: socket.socket) -> None:
+        """One client's connection. What fails in it is a fault of ours, logged, and ends it alone."""
+        try:
+            Connection(client, self.api, self.told.bounds).serve()
+        except Exception as fault:
+            self.note("fault", level="error", problem=repr(fault))
+
+    def timer(self) -> None:
+        """The one timer: every tick, what is due; how late it comes tells how busy or stalled the process is."""
+        tick = self.told.deployment.tick
+        due = time.monotonic_ns() + tick
+        measured = 0
+        while True:
+            gevent.sleep(max(0, due - time.monotonic_ns()) / SECOND)
+            now = time.monotonic_ns()
+            late = now - due
+            if late >= STALL:
+                self.stalls += 1
+                self.longest_stall = max(self.longest_stall, late)
+                self.note("stalled", level="warning", late_ms=late // MS, owed=self.desk.owed)
+            if now - measured >= PERIOD:
+                measured = now
+                self.admission.measured(late)
+            if self.desk.due() <= now:
+                self.desk.tick(now)
+            self.told_of(self.membership.tick(now))
+            self.api.tick(now)
+            if now // SECOND != (now - tick) // SECOND:
+                self.let_go_of_workers()
+            due = max(due + tick, time.monotonic_ns())
+
+    def let_go_of_workers(self) -> None:
+        """Ends links to workers that are gone, once nothing waits for them."""
+        for name in [name for name, link in self.links.items()
+                     if self.membership.known[name].entry.state is State.GONE and not link.waiting]:
+            self.links.pop(name).stop()
+
+    def drain(self) -> None:
+        """No new calls; what is held gets its answers; then the end, within the stated time."""
+        self.api.closing = True
+        self.note("draining", owed=self.desk.owed, connections=len(self.connections))
+        for sock in self.listeners:
+            sock.close()
+        until = time.monotonic_ns() + self.told.bounds.drain
+        while (self.desk.owed or self.deferrals.pending) and time.monotonic_ns() < until:
+            gevent.sleep(self.told.deployment.tick / SECOND)
+        gevent.sleep(2 * self.told.deployment.tick / SECOND)     # the last answers leave their connections
+        for link in self.links.values():
+            link.stop()
+        self.connections.kill()
+        self.greenlets.kill()
+        self.note("ended", owed=self.desk.owed, **{key.replace(" ", "_"): n for key, n in self.desk.counts.items()})
+
+    def reload(self) -> None:
+        """Reads the file again; takes over what may change while running, and says what may not."""
+        try:
+            new = installation.read(self.told.file)
+        except Mistake as problem:
+            self.note("reload-refused", level="error", problem=str(problem))
+            return
+        taken, kept = installation.changed(self.told, new)
+        self.told = self.api.told = installation.reloaded(self.told, new)
+        bounds = self.told.bounds
+        self.deferrals.most_pending, self.deferrals.most, self.deferrals.keep = (
+            bounds.deferred, bounds.results, bounds.keep_results)
+        self.note("reloaded", taken=taken, needs_restart=kept)
+
+    def status(self) -> dict[str, Any]:
+        """What this front end knows of itself, for GET /v1/status."""
+        now = time.monotonic_ns()
+        believed = self.desk.dispatcher.workers
+        return {
+            "front-end": self.name, "pid": os.getpid(), "up-s": round((now - self.started) / SECOND, 3),
+            "closing": self.api.closing, "owed": self.desk.owed, "held": len(self.desk.held),
+            "connections": len(self.connections), "counts": dict(sorted(self.desk.counts.items())),
+            "refused-at-door": self.admission.refused, "refused-part": round(self.admission.part, 3),
+            "lag-ms": round(self.admission.lag / MS, 3), "stalls": self.stalls,
+            "longest-stall-ms": self.longest_stall // MS,
+            "deferred": {"pending": self.deferrals.pending, "bytes": self.deferrals.size,
+                         "dropped": self.deferrals.dropped},
+            "roster": {"kind": self.told.roster_kind,
+                       "age-s": round((now - self.roster_said) / SECOND, 3) if self.roster_said else None},
+            "workers": {name: {
+                "state": self.membership.state(one).value, "zone": one.entry.zone,
+                "link": bool(name in self.links and self.links[name].up),
+                "in-flight": len(believed[name].sends) if name in believed else 0,
+                "suspended-ms": max(0, believed[name].until - now) // MS if name in believed else 0,
+                "pace": round(believed[name].pace, 3) if name in believed else 0,
+                "copies-believed": sum(until > now for until in believed[name].warm.values())
+                if name in believed else 0,
+            } for name, one in sorted(self.membership.known.items())},
+        }
--- /dev/null
+++ b/threadshift/invoke/__init__.py
@@ -0,0 +1,1 @@
+"""The invoke API over HTTP/1.1: synchronous and deferred calls, and their answers."""
--- /dev/null
+++ b/threadshift/invoke/http.py
@@ -0,0 +1,224 @@
+"""HTTP/1.1 connections: bytes to exchanges, answers to bytes, in the order the requests came.
+
+One greenlet reads a connection and one writes it; both end with it. Parsing is httptools' (llhttp, strict): a
+request with both lengths, a bad chunk or a malformed header ends in one 400 and a close.
+"""
+from __future__ import annotations
+
+import time
+from collections import deque
+from contextlib import suppress
+from http import HTTPStatus
+from typing import Any, Protocol
+
+import gevent
+import httptools
+from gevent import socket
+from gevent.event import Event
+
+from threadshift.conf.installation import Bounds
+from threadshift.interface import SECOND
+from threadshift.invoke.requests import Headers, Problem, Response, problem
+
+READ = 64 << 10            # bytes a read
+LINGER = SECOND            # ns; after a refusal the client's bytes are read so long, or it would not see why
+REASONS = {status.value: status.phrase for status in HTTPStatus}
+SINGLE = frozenset({"time-left", "tenant", "idempotency-key", "repetition", "work-hint", "host"})
+
+
+class Exchange:
+    """One request and its answer. `held` is the activation taken for it, if any."""
+
+    __slots__ = ("connection", "method", "path", "headers", "body", "keep_alive", "response", "held", "waits")
+
+    def __init__(self, connection: Connection, method: str, path: str, headers: dict[str, str], body: bytes,
+                 keep_alive: bool):
+        self.connection, self.method, self.path, self.headers, self.body, self.keep_alive = (
+            connection, method, path, headers, body, keep_alive)
+        self.response: Response | None = None
+        self.held: Any = None
+        self.waits: Any = None       # the deferred call whose answer it waits for
+
+    def respond(self, response: Response) -> None:
+        if self.response is None:
+            self.response = response
+            self.connection.answered(self)
+
+
+class Application(Protocol):
+    """Who answers exchanges, and when."""
+
+    closing: bool
+
+    def handle(self, exchange: Exchange) -> None: ...
+    def gone(self, exchange: Exchange) -> None: ...
+
+
+class Connection:
+    """One client connection."""
+
+    def __init__(self, sock: socket.socket, application: Application, bounds: Bounds):
+        self.sock, self.application, self.bounds = sock, application, bounds
+        self.line: deque[Exchange] = deque()    # answers owed, in order
+        self.wake, self.room = Event(), Event()
+        self.ended = self.last = False          # nothing more is read; nothing more is answered
+        self.parser = httptools.HttpRequestParser(self)
+        self.began = 0                          # when the request under way sent its first byte, 0: none
+        self.reset()
+
+    def reset(self) -> None:
+        self.url, self.size, self.body, self.headers = b"", 0, bytearray(), {}
+        self.complaint: Problem | None = None
+
+    # Called by httptools.
+
+    def on_message_begin(self) -> None:
+        self.reset()
+        self.began = self.began or time.monotonic_ns()
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+        self.grow(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.grow(len(name) + len(value))
+        key, text = name.decode("latin-1").lower(), value.decode("latin-1")
+        if key in SINGLE and key in self.headers:
+            raise Problem(400, "bad-request", f"{key} stands twice", key)
+        self.headers[key] = f"{self.headers[key]}, {text}" if key in self.headers else text
+
+    def grow(self, count: int) -> None:
+        self.size += count
+        if self.size > self.bounds.headers:
+            raise Problem(431, "headers-too-large", f"request line and headers pass {self.bounds.headers} bytes")
+
+    def on_headers_complete(self) -> None:
+        length = self.headers.get("content-length", "")
+        if length.isdigit() and int(length) > self.bounds.body:
+            raise Problem(413, "body-too-large", f"the bound is {self.bounds.body} bytes", "Content-Length")
+        if "host" not in self.headers and self.parser.get_http_version() == "1.1":
+            raise Problem(400, "bad-request", "HTTP/1.1 needs one", "Host")
+        if self.headers.get("expect", "").lower() == "100-continue" and not self.line:
+            with suppress(OSError):
+                self.sock.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        self.body += data
+        if len(self.body) > self.bounds.body:
+            raise Problem(413, "body-too-large", f"the bound is {self.bounds.body} bytes")
+
+    def on_message_complete(self) -> None:
+        self.began = 0
+        keep = self.parser.should_keep_alive() and not self.application.closing
+        exchange = Exchange(self, self.parser.get_method().decode(), self.url.decode("latin-1"), self.headers,
+                            bytes(self.body), keep)
+        self.line.append(exchange)
+        self.application.handle(exchange)
+
+    # The two greenlets.
+
+    def serve(self) -> None:
+        """Reads until the end. Returns with the connection closed and no greenlet left."""
+        writer = gevent.spawn(self.write)
+        try:
+            complaint = self.read()
+            if complaint is not None:
+                last = Exchange(self, "", "", {}, b"", False)
+                self.line.append(last)
+                last.respond(problem(complaint))
+                writer.join((self.bounds.longest_wait + self.bounds.write) / SECOND)
+                self.linger()
+        finally:
+            self.ended = True
+            for exchange in [each for each in self.line if each.response is None]:
+                self.application.gone(exchange)
+            writer.kill()
+            self.sock.close()
+
+    def read(self) -> Problem | None:
+        while not self.last:
+            if len(self.line) >= self.bounds.pipeline:
+                self.room.clear()
+                if not self.room.wait(self.bounds.longest_wait / SECOND):
+                    return None
+                continue
+            limit = self.began + self.bounds.request - time.monotonic_ns() if self.began else self.bounds.idle
+            if limit <= 0:
+                return Problem(408, "request-too-slow", "the request did not end in time")
+            self.sock.settimeout(limit / SECOND)
+            try:
+                data = self.sock.recv(READ)
+            except TimeoutError:
+                if self.began:
+                    return Problem(408, "request-too-slow", "the request did not end in time")
+                if self.line:
+                    continue        # it waits for our answer, which has a limit of its own
+                return None
+            except OSError:
+                return None
+            if not data:
+                return None
+            self.began = self.began or time.monotonic_ns()
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade:
+                return Problem(400, "bad-request", "no upgrade is offered here", "Upgrade")
+            except httptools.HttpParserCallbackError as failed:
+                if isinstance(failed.__context__, Problem):
+                    return failed.__context__
+                raise
+            except httptools.HttpParserError as failed:
+                return Problem(400, "bad-request", f"not HTTP/1.1: {str(failed)[:120]}")
+        return None
+
+    def write(self) -> None:
+        """Writes answers in order as they are ready; a client that takes none in time is cut off."""
+        try:
+            while True:
+                while self.line and self.line[0].response is not None:
+                    parts, keep = [], True
+                    while keep and self.line and self.line[0].response is not None:
+                        exchange = self.line.popleft()
+                        keep = exchange.keep_alive
+                        parts.append(self.bytes_of(exchange, keep))
+                    self.room.set()
+                    self.sock.settimeout(self.bounds.write / SECOND)
+                    self.sock.sendall(b"".join(parts))
+                    if not keep:
+                        self.last = True
+                        if not self.ended:
+                            self.sock.shutdown(socket.SHUT_WR)
+                        return
+                self.wake.clear()
+                if not self.line or self.line[0].response is None:
+                    self.wake.wait()
+        except OSError:
+            self.last = True
+            with suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)
+
+    @staticmethod
+    def bytes_of(exchange: Exchange, keep: bool) -> bytes:
+        response = exchange.response
+        assert response is not None
+        headers: Headers = [*response.headers, ("Content-Length", str(len(response.body)))]
+        if not keep:
+            headers.append(("Connection", "close"))
+        head = [f"HTTP/1.1 {response.status} {REASONS.get(response.status, '')}"]
+        head += [f"{name}: {value}" for name, value in headers]
+        return "\r\n".join([*head, "", ""]).encode("latin-1") + (
+            b"" if exchange.method == "HEAD" else response.body)
+
+    def answered(self, exchange: Exchange) -> None:
+        """An exchange has its answer; it goes out once it is first in line."""
+        if self.line and self.line[0] is exchange:
+            self.wake.set()
+
+    def linger(self) -> None:
+        """Reads and drops what still comes, or a reset would take the refusal from the client unseen."""
+        until = time.monotonic_ns() + LINGER
+        with suppress(OSError):
+            while (left := until - time.monotonic_ns()) > 0:
+                self.sock.settimeout(left / SECOND)
+                if not self.sock.recv(READ):
+                    return
--- /dev/null
+++ b/threadshift/links/codec.py
@@ -0,0 +1,105 @@
+"""Frames of the worker protocol: a length of four bytes, big-endian, then one msgpack map with a "kind".
+
+docs/worker-protocol.md has every kind and field. Unknown fields are skipped; a kind that the reader does not know is
+refused by name. All that is wrong with input is `Refused`, with one sentence to send back and to log.
+"""
+from __future__ import annotations
+
+import struct
+from typing import Any
+
+import msgpack
+
+VERSION = 1                # of the protocol; a hello with another major version is refused
+LENGTH = struct.Struct(">I")
+DEEPEST_TEXT = 4096        # bytes of a name or reason; names are far shorter
+MOST_FIELDS = 64           # fields of one map; the protocol's largest frame has a dozen
+
+Frame = dict[str, Any]
+
+
+class Refused(Exception):
+    """Input that breaks the protocol; `str()` says how."""
+
+
+# Fields that a kind must have, with their types; more may stand beside them.
+WANTED: dict[str, dict[str, type | tuple[type, ...]]] = {
+    "hello": {"version": int, "name": str},
+    "invoke": {"id": int, "function": str, "type": str, "effect": str, "left": int, "body": bytes},
+    "cancel": {"id": int},
+    "hold": {"id": int, "function": str, "copies": int},
+    "unload": {"function": str},
+    "ask": {"id": int},
+    "ping": {},
+    "result": {"id": int, "body": bytes},
+    "error": {"id": int, "reason": str},
+    "full": {"id": int},
+    "miss": {"id": int},
+    "held": {"id": int, "outcome": str, "copies": int},
+    "status": {"id": int},
+    "pong": {},
+    "draining": {},
+    "refused": {"reason": str},
+    # The pack store and the roster feed speak the same frames.
+    "fetch": {"id": int, "function": str},
+    "pack": {"id": int, "digest": str, "body": bytes},
+    "no-pack": {"id": int, "reason": str},
+    "list": {"generation": int, "workers": list},
+    "changes": {"generation": int, "workers": list},
+}
+
+
+def encode(kind: str, **fields: Any) -> bytes:
+    """One frame's bytes; None fields are left out."""
+    body = msgpack.packb({"kind": kind, **{name: value for name, value in fields.items() if value is not None}})
+    return LENGTH.pack(len(body)) + body
+
+
+def check(frame: Any) -> Frame:
+    """A decoded map that keeps the protocol. Raises Refused."""
+    if not isinstance(frame, dict) or not isinstance(kind := frame.get("kind"), str):
+        raise Refused("a frame is a map with a text 'kind'")
+    wanted = WANTED.get(kind)
+    if wanted is None:
+        raise Refused(f"unknown frame kind '{kind[:64]}'")
+    for name, type_ in wanted.items():
+        value = frame.get(name)
+        if not isinstance(value, type_) or isinstance(value, bool):
+            raise Refused(f"{kind}: field '{name}' is {'absent' if value is None else 'of the wrong type'}")
+        if type_ is str and len(value) > DEEPEST_TEXT:
+            raise Refused(f"{kind}: field '{name}' is longer than {DEEPEST_TEXT}")
+    return frame
+
+
+class Frames:
+    """Cuts a stream of bytes into frames. One a connection and direction; holds at most one frame's bytes
+    beyond what was fed last."""
+
+    def __init__(self, longest: int):
+        self.longest = longest
+        self.buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[Frame]:
+        """The frames that data completes. Raises Refused; nothing after that may be read."""
+        self.buffer += data
+        frames, at = [], 0
+        while len(self.buffer) - at >= LENGTH.size:
+            length = LENGTH.unpack_from(self.buffer, at)[0]
+            if length > self.longest:
+                raise Refused(f"a frame of {length} bytes is over the bound of {self.longest}")
+            end = at + LENGTH.size + length
+            if len(self.buffer) < end:
+                break
+            try:
+                frame = msgpack.unpackb(bytes(self.buffer[at + LENGTH.size:end]), max_map_len=MOST_FIELDS)
+            except (ValueError, msgpack.UnpackException, RecursionError, TypeError) as problem:
+                raise Refused(f"a frame is not msgpack: {str(problem)[:100] or type(problem).__name__}") from None
+            frames.append(check(frame))
+            at = end
+        del self.buffer[:at]
+        return frames
+
+    @property
+    def torn(self) -> bool:
+        """Whether the input so far ends inside a frame."""
+        return bool(self.buffer)
--- /dev/null
+++ b/threadshift/links/link.py
@@ -0,0 +1,266 @@
+"""One worker's connection: dialling, hello, many calls at once, keepalive, and what a break proves.
+
+A Link owns two greenlets, ended by stop(): one dials and reads, one writes. What comes in becomes a call on the
+handle it belongs to; nothing here decides what follows from it.
+"""
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from itertools import count
+from typing import Any, Protocol
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+from threadshift.conf.installation import Bounds
+from threadshift.conf.values import Address
+from threadshift.interface import SECOND, Copy, Outcome, Report
+from threadshift.links.codec import VERSION, Frame, Frames, Refused, encode
+from threadshift.links.outbox import Outbox
+from threadshift.links.redial import Redial
+from threadshift.links.sockets import READ, connect
+
+SILENT = 3                 # keepalives without a frame from the worker until the link counts as broken
+COPIES = {copy.value: copy for copy in Copy}
+HELD = {"stands": Outcome.COMPLETED, "full": Outcome.FULL, "error": Outcome.ERROR}
+
+
+class Answered(Protocol):
+    """What a link tells of a worker, beside answers: it is up with this hello, it said that it drains."""
+
+    def hello(self, worker: str, hello: Frame) -> str: ...
+    def draining(self, worker: str) -> None: ...
+    def note(self, event: str, **fields: Any) -> None: ...
+
+
+def report(told: Any) -> Report | None:
+    """A load report off the wire; what is no number is taken as not told."""
+    if not isinstance(told, dict):
+        return None
+    values = (told.get(name) for name in Report._fields)
+    return Report(*(float(value) if isinstance(value, int | float) and not isinstance(value, bool) else None
+                    for value in values))
+
+
+class Link:
+    """The connection to one worker. Keys are ids of frames; `waiting` has what each id's answer goes to."""
+
+    def __init__(self, worker: str, address: Address, bounds: Bounds, front_end: str, owner: Answered,
+                 chance: Callable[[], float]):
+        self.worker, self.address, self.bounds, self.front_end, self.owner = (
+            worker, address, bounds, front_end, owner)
+        self.outbox = Outbox(bounds.worker_buffer)
+        self.redial = Redial(chance)
+        self.not_before = 0
+        self.sock: socket.socket | None = None
+        self.up = False
+        self.waiting: dict[int, Any] = {}       # (held, number) of an invoke, or an Asked
+        self.ids: dict[tuple, int] = {}         # the way back for cancels
+        self.number = count(1).__next__
+        self.heard = 0
+        self.wake = Event()
+        self.stopped = False
+        self.greenlet = gevent.spawn(self.run)
+
+    # What the desk's port asks for.
+
+    def invoke(self, held: Any, number: int, left: int) -> Outcome | None:
+        call = held.call
+        return self.put((held, number), lambda id_: encode(
+            "invoke", id=id_, function=call.function, type=call.type, effect=held.act.kind.effect.value, left=left,
+            body=call.body, lanes=call.lanes, mark=call.mark or None, work=call.work or None, activation=held.ivk))
+
+    def order(self, asked: Any) -> Outcome | None:
+        return self.put(asked, lambda id_: encode("hold", id=id_, function=asked.fn, copies=1))
+
+    def ask(self, asked: Any) -> Outcome | None:
+        return self.put(asked, lambda id_: encode("ask", id=id_))
+
+    def put(self, what: Any, frame: Callable[[int], bytes]) -> Outcome | None:
+        """Queues a frame, or says that the worker is not to be reached: nothing of it will be written then."""
+        if self.stopped or not self.up and time.monotonic_ns() < self.not_before:
+            return Outcome.UNREACHABLE
+        id_ = self.number()
+        if not self.outbox.put(id_, frame(id_)):
+            # A worker that does not read: what fits no more never left, and tells as much as a refused connection.
+            return Outcome.UNREACHABLE
+        self.waiting[id_] = what
+        self.ids[self.key(what)] = id_
+        self.wake.set()
+        return None
+
+    def cancel(self, held: Any, number: int, tell: bool) -> Outcome:
+        """Stops waiting for a send. MOOT where it never left."""
+        id_ = self.ids.pop((held.ivk, number), None)
+        if id_ is None:
+            return Outcome.CANCELLED
+        self.waiting.pop(id_, None)
+        if self.outbox.withdraw(id_):
+            return Outcome.MOOT
+        if tell and self.up and self.outbox.put(None, encode("cancel", id=id_)):
+            self.wake.set()
+        return Outcome.CANCELLED
+
+    @staticmethod
+    def key(what: Any) -> tuple:
+        return (what[0].ivk, what[1]) if isinstance(what, tuple) else (id(what),)
+
+    # The connection.
+
+    def run(self) -> None:
+        while not self.stopped:
+            gevent.sleep(max(0, self.not_before - time.monotonic_ns()) / SECOND)
+            writer = None
+            problem = "closed by the worker"
+            try:
+                self.sock = connect(self.address, self.bounds.connect)
+                frames = Frames(self.bounds.frame)
+                self.greet(frames)
+                writer = gevent.spawn(self.write)
+                self.read(frames)
+                if frames.torn:
+                    problem = "closed by the worker inside a frame"
+            except (OSError, Refused) as failed:
+                problem = str(failed) or type(failed).__name__
+                if isinstance(failed, Refused):
+                    self.refuse(problem)
+            finally:
+                self.up = False
+                if writer is not None:
+                    writer.kill()
+                if self.sock is not None:
+                    self.sock.close()
+                    self.sock = None
+            if not self.stopped:
+                self.broke(problem)
+
+    def greet(self, frames: Frames) -> None:
+        """Hellos both ways; the worker's name must be the one the roster has for this address."""
+        assert self.sock is not None
+        self.sock.sendall(encode("hello", version=VERSION, name=self.front_end))
+        first: list[Frame] = []
+        until = time.monotonic_ns() + self.bounds.connect
+        while not first:
+            left = until - time.monotonic_ns()
+            if left <= 0:
+                raise OSError("no hello in time")
+            self.sock.settimeout(left / SECOND)
+            data = self.sock.recv(READ)
+            if not data:
+                raise OSError("closed before its hello")
+            first = frames.feed(data)
+        hello = first.pop(0)
+        if hello["kind"] != "hello":
+            raise Refused(f"'{hello['kind']}' came before hello")
+        if hello["version"] != VERSION:
+            raise Refused(f"version {hello['version']} is not spoken here, version {VERSION} is")
+        problem = self.owner.hello(self.worker, hello)
+        if problem:
+            raise Refused(problem)
+        self.heard = time.monotonic_ns()
+        self.up = True
+        self.redial.up(self.heard)
+        for frame in first:
+            self.hear(frame)
+
+    def read(self, frames: Frames) -> None:
+        assert self.sock is not None
+        while True:
+            self.sock.settimeout(self.bounds.keepalive / SECOND)
+            try:
+                data = self.sock.recv(READ)
+            except TimeoutError:
+                # Nothing heard: ask whether it lives. Half-open connections show only this way.
+                if time.monotonic_ns() - self.heard > SILENT * self.bounds.keepalive:
+                    raise OSError("silent past its keepalives") from None
+                self.outbox.put(None, encode("ping"))
+                self.wake.set()
+                continue
+            if not data:
+                return
+            self.heard = time.monotonic_ns()
+            for frame in frames.feed(data):
+                self.hear(frame)
+
+    def write(self) -> None:
+        """Writes what waits. A worker that takes no byte for the write limit is broken off."""
+        sock = self.sock
+        assert sock is not None
+        try:
+            while True:
+                chunk = self.outbox.chunk()
+                if not chunk:
+                    self.outbox.wrote(0)
+                    self.wake.clear()
+                    self.wake.wait()
+                    continue
+                sock.settimeout(self.bounds.write / SECOND)
+                self.outbox.wrote(sock.send(chunk))
+        except OSError:
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)     # the reader notices and tidies up
+
+    def hear(self, frame: Frame) -> None:
+        """One frame as the call on the handle that it belongs to; an answer that nobody waits for is dropped."""
+        kind, now = frame["kind"], time.monotonic_ns()
+        if kind == "pong":
+            return
+        if kind == "draining":
+            self.owner.draining(self.worker)
+            return
+        if kind == "refused":
+            raise OSError(f"refused by the worker: {frame['reason'][:200]}")
+        if kind not in ("result", "error", "full", "miss", "held", "status"):
+            raise Refused(f"'{kind}' is not for a worker to send here")
+        what = self.waiting.pop(frame["id"], None)
+        if what is None:
+            return
+        self.ids.pop(self.key(what), None)
+        load = report(frame.get("load"))
+        if isinstance(what, tuple) != (kind in ("result", "error", "full", "miss")):
+            raise Refused(f"'{kind}' answers something else")
+        if kind == "held":
+            what.answered(now, HELD.get(frame["outcome"], Outcome.ERROR), copies=frame["copies"])
+        elif kind == "status":
+            what.answered(now, Outcome.COMPLETED, report=load)
+        else:
+            held, number = what
+            failed = bool(frame.get("load_failed"))
+            copy = Copy.LOAD_FAILED if failed else COPIES.get(frame.get("copy", ""), Copy.UNTOLD)
+            outcome = {"result": Outcome.COMPLETED, "error": Outcome.ERROR, "full": Outcome.FULL}.get(
+                kind, Outcome.MISS)
+            error = frame.get("function_error")
+            held.returned(now, number, outcome, body=frame.get("body", b""),
+                          error=error if isinstance(error, str) else "", copy=copy, report=load)
+
+    def refuse(self, reason: str) -> None:
+        """Tells the peer why, as far as its socket takes it at once."""
+        if self.sock is not None:
+            with suppress(OSError):
+                self.sock.settimeout(0)
+                self.sock.send(encode("refused", reason=reason))
+
+    def broke(self, problem: str) -> None:
+        """Every frame that waits for an answer ends: as never run, or as maybe run. Then a pause."""
+        now = time.monotonic_ns()
+        self.not_before = self.redial.broke(now)
+        ended = [(what, self.outbox.never_left(id_)) for id_, what in self.waiting.items()]
+        self.waiting.clear()
+        self.ids.clear()
+        self.outbox.clear()
+        self.owner.note("link-broke", worker=self.worker, problem=problem, sends=len(ended))
+        for what, never in ended:
+            outcome = Outcome.UNREACHABLE if never else Outcome.RESET
+            if isinstance(what, tuple):
+                what[0].returned(now, what[1], outcome)
+            else:
+                what.answered(now, outcome)
+
+    def stop(self) -> None:
+        """Ends the link and its greenlets; what waits for answers ends like after a break."""
+        self.stopped = True
+        self.greenlet.kill()
+        self.broke("stopped")
--- /dev/null
+++ b/threadshift/roster/__init__.py
@@ -0,0 +1,1 @@
+"""Where the list of workers comes from, and what of it is believed."""
--- /dev/null
+++ b/threadshift/roster/sources.py
@@ -0,0 +1,135 @@
+"""Where the roster is read from: a feed over TCP, or a plain watched file. Each runs in a greenlet of its own.
+
+Both hand entries to a `Listener` and keep quiet about what they cannot read beyond one note: the last list stands.
+"""
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import gevent
+
+from threadshift.conf import values
+from threadshift.conf.installation import Bounds
+from threadshift.conf.reading import Directive, Mistake, load, nearest
+from threadshift.conf.values import Address
+from threadshift.interface import MS, SECOND, State
+from threadshift.links.codec import VERSION, Frames, Refused, encode
+from threadshift.links.sockets import READ, connect
+from threadshift.links.redial import Redial
+from threadshift.roster.membership import MOST_WORKERS, Entry, Unbelievable, entry
+
+LOOK = 500 * MS            # ns between two looks at a file; a change is seen as soon as any feed would tell it
+QUIET = 30 * SECOND        # ns; a feed that says nothing, not even a keepalive, so long is dialled anew
+
+
+class Listener(Protocol):
+    def listed(self, entries: list[Entry], full: bool) -> None: ...
+    def note(self, event: str, **fields: Any) -> None: ...
+
+
+class Feed:
+    """Follows a roster feed: a full list after each hello, then changes with generations that have no gap."""
+
+    def __init__(self, address: Address, name: str, bounds: Bounds, listener: Listener,
+                 chance: Callable[[], float]):
+        self.address, self.name, self.bounds, self.listener = address, name, bounds, listener
+        self.redial = Redial(chance)
+        self.generation: int | None = None
+
+    def run(self) -> None:
+        while True:
+            problem = self.follow()
+            self.generation = None
+            pause = self.redial.broke(time.monotonic_ns()) - time.monotonic_ns()
+            self.listener.note("roster-lost", problem=problem, again_ms=pause // MS)
+            gevent.sleep(max(0, pause) / SECOND)
+
+    def follow(self) -> str:
+        """One connection until it ends; why it ended."""
+        sock = None
+        try:
+            sock = connect(self.address, self.bounds.connect)
+            sock.sendall(encode("hello", version=VERSION, name=self.name))
+            sock.settimeout(QUIET / SECOND)
+            frames = Frames(self.bounds.frame)
+            while data := sock.recv(READ):
+                for frame in frames.feed(data):
+                    self.hear(frame)
+            return "closed by the feed"
+        except (OSError, Refused, Unbelievable) as failed:
+            return str(failed) or type(failed).__name__
+        finally:
+            if sock is not None:
+                sock.close()
+
+    def hear(self, frame: dict[str, Any]) -> None:
+        if frame["kind"] in ("hello", "ping", "pong"):
+            return
+        full = frame["kind"] == "list"
+        if not full and frame["kind"] != "changes":
+            raise Refused(f"'{frame['kind']}' is not for a feed to send")
+        if len(frame["workers"]) > MOST_WORKERS:
+            raise Unbelievable(f"a list of {len(frame['workers'])} workers is over {MOST_WORKERS}")
+        if not full and self.generation is None:
+            raise Unbelievable("changes came before a full list")
+        if not full and self.generation is not None and frame["generation"] != self.generation + 1:
+            # Something between was missed: only a full list mends that, and each connection begins with one.
+            raise Unbelievable(f"generation {frame['generation']} follows {self.generation}")
+        entries = [entry(each) for each in frame["workers"] if isinstance(each, dict)]
+        if len(entries) != len(frame["workers"]):
+            raise Unbelievable("an entry is not a map")
+        self.generation = frame["generation"]
+        self.redial.up(time.monotonic_ns())
+        self.listener.listed(entries, full)
+
+
+FACTS = {"zone": values.name, "cell": int, "size": values.number, "state": State}
+
+
+def worker_line(line: Directive) -> Entry:
+    """'worker w1 127.0.0.1:9001 zone hall-a size 1.5 state draining'"""
+    if line.name != "worker":
+        raise line.wrong(f"unknown directive '{line.name}'{nearest(line.name, ['worker'])}")
+    if line.block is not None or len(line.words) < 2 or len(line.words) % 2:
+        raise line.wrong("'worker' takes a name, an address, then pairs of zone, cell, size or state with values")
+    try:
+        facts = {}
+        for fact, text in zip(line.words[2::2], line.words[3::2], strict=True):
+            if fact not in FACTS:
+                raise ValueError(f"unknown fact '{fact}'{nearest(fact, FACTS)}")
+            facts[fact] = FACTS[fact](text)
+        return Entry(values.name(line.words[0]), values.address(line.words[1]), **facts)
+    except ValueError as problem:
+        raise line.wrong(f"worker {line.words[0]}: {problem}") from None
+
+
+class WatchedFile:
+    """A file with a 'worker' line each; read again whenever it changes. A bad one leaves the last list in force."""
+
+    def __init__(self, path: str, listener: Listener):
+        self.path, self.listener = path, listener
+        self.seen: tuple | None = None
+
+    def run(self) -> None:
+        while True:
+            self.look()
+            gevent.sleep(LOOK / SECOND)
+
+    def look(self) -> None:
+        try:
+            stat = os.stat(self.path)
+            mark = (stat.st_mtime_ns, stat.st_size, stat.st_ino)
+        except OSError as problem:
+            mark = (problem.errno,)
+        if mark == self.seen:
+            return
+        self.seen = mark
+        try:
+            entries = [worker_line(line) for line in load(self.path)]
+        except Mistake as problem:
+            self.listener.note("roster-unreadable", problem=str(problem))
+            return
+        self.listener.listed(entries, full=True)
--- /dev/null
+++ b/threadshift/standins/worker.py
@@ -0,0 +1,396 @@
+"""A worker: loads functions from a store on demand, runs calls on a few cores, and reports its load.
+
+The work of a call is time spent on a core of the stand-in, not of the machine, so that many workers fit on one; what
+a call answers is really computed from its body. Everything that crosses its sockets is recorded, with a mark that
+the client wrote in the body, so that audits need not believe any front end.
+"""
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import re
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+import gevent
+from gevent.event import Event
+from gevent.lock import BoundedSemaphore
+
+from threadshift.conf.values import Address
+from threadshift.interface import MS, SECOND
+from threadshift.links.codec import VERSION, Frame, Frames, Refused, encode
+from threadshift.links.sockets import READ, connect
+from threadshift.standins.common import LONGEST_FRAME, Peer, Record, Server
+
+MARK = re.compile(rb'"mark":"([^"]{1,64})"')
+TICK = 20 * MS             # how often idle copies, reports and our own stalls are looked at
+
+
+def run(operation: str, body: bytes) -> tuple[bytes, str | None]:
+    """What a function answers, and the name of its own error, if any."""
+    if operation == "upper":
+        return body.upper(), None
+    if operation == "reverse":
+        return body[::-1], None
+    if operation == "count":
+        return str(len(body.split())).encode(), None
+    if operation == "sum":
+        try:
+            return f"{sum(map(float, body.split())):g}".encode(), None
+        except ValueError:
+            return b"words that are no numbers", "NotNumbers"
+    if operation == "digest":
+        return hashlib.sha256(body).hexdigest().encode(), None
+    return body, None
+
+
+@dataclass(slots=True)
+class Machine:
+    """What a worker is made of and promises."""
+
+    name: str
+    zone: str = ""
+    size: float = 1.0
+    cores: int = 2
+    memory_mb: float = 4096
+    loads: int = 4               # at a time
+    most: int = 64               # calls held; past it, full
+    keep: int = 10 * SECOND      # an idle copy stays so long
+    cold_share: float = 1.0
+    cold_time: int = 0
+    fall_multiple: float = 1e9
+    fall_time: int = SECOND
+    report_every: int = 200 * MS
+    loads_on_miss: bool = True
+    cancel_drops: bool = True    # a cancel takes waiting work out of the queue
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """One call held here."""
+
+    peer: Peer
+    frame: Frame
+    came: int
+    ends: int
+    copy: str = "found"
+    cancelled: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Loaded:
+    """One copy of a function."""
+
+    pack: dict[str, Any]
+    busy: int = 0
+    idle_since: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Shelf:
+    """A function here: its copies, loads under way and calls that wait for a lane."""
+
+    copies: list[Loaded] = field(default_factory=list)
+    loading: int = 0
+    lanes: int = 1
+    queue: deque[Job] = field(default_factory=deque)
+    changed: Event = field(default_factory=Event)        # set and renewed when a load ended
+    failed: str = ""
+
+
+class Worker(Server):
+    """Orders: die, hang L, slow L X, stall L, late L MS, lie L, break-mid-frame, break-after-run, drain, flush."""
+
+    def __init__(self, address: Address, machine: Machine, store: Address, record: Record):
+        super().__init__(address)
+        self.machine, self.store, self.record = machine, store, record
+        self.started, self.started_wall = time.monotonic_ns(), time.time_ns()
+        self.shelves: dict[str, Shelf] = {}
+        self.cores = BoundedSemaphore(machine.cores)
+        self.load_slots = BoundedSemaphore(machine.loads)
+        self.jobs: dict[tuple[int, int], Job] = {}
+        self.loading = self.running = 0
+        self.used_mb = 0.0
+        self.draining = self.down = False
+        self.pushed: deque[tuple[int, float]] = deque()     # (when, work ms) received, within the fall time
+        self.remembered: dict[str, bytes] = {}              # answers by mark, of deduplicated calls
+        self.load: dict[str, float] = {}
+        self.read_at = 0
+
+    def start(self) -> None:
+        super().start()
+        self.group.spawn(self.tend)
+        self.record.note("up", started=self.started_wall, cores=self.machine.cores, size=self.machine.size)
+
+    def obey(self, words: list[str]) -> None:
+        self.record.note("order", words=words)
+        if words[0] == "die":
+            os._exit(9)
+        elif words[0] == "drain":
+            self.draining = True
+            for peer in self.peers:
+                peer.send("draining")
+        elif words[0] == "flush":
+            for shelf in self.shelves.values():
+                for copy in [each for each in shelf.copies if not each.busy]:
+                    self.unload(shelf, copy)
+        else:
+            self.faults.order(*words)
+
+    # What comes in.
+
+    def hear(self, peer: Peer, frame: Frame) -> None:
+        kind = frame["kind"]
+        if kind == "hello":
+            if peer.name:
+                raise Refused("a second hello")
+            if frame["version"] != VERSION:
+                raise Refused(f"version {frame['version']} is not spoken here, version {VERSION} is")
+            peer.name = frame["name"] or "?"
+            peer.send("hello", version=VERSION, name=self.machine.name, started=self.started_wall,
+                      size=self.machine.size, zone=self.machine.zone, draining=self.draining)
+        elif not peer.name:
+            raise Refused(f"'{kind}' came before hello")
+        elif kind == "invoke":
+            self.invoke(peer, frame)
+        elif kind == "cancel":
+            job = self.jobs.get((id(peer), frame["id"]))
+            if job is not None and self.machine.cancel_drops:
+                job.cancelled = True
+        elif kind == "hold":
+            self.record.note("hold", front=peer.name, function=frame["function"])
+            self.group.spawn(self.hold, peer, frame)
+        elif kind == "unload":
+            shelf = self.shelf(frame["function"])
+            for copy in [each for each in shelf.copies if not each.busy]:
+                self.unload(shelf, copy)
+        elif kind == "ask":
+            if not self.faults.amount("hang"):
+                peer.send("status", id=frame["id"], load=self.load)
+        elif kind == "ping":
+            peer.send("pong")
+        elif kind != "refused":
+            raise Refused(f"'{kind}' is not for a worker to hear")
+
+    def invoke(self, peer: Peer, frame: Frame) -> None:
+        now = time.monotonic_ns()
+        mark = MARK.search(frame["body"][:256])
+        work = (frame.get("work") or 0) / MS
+        self.record.note("invoke", front=peer.name, mark=mark[1].decode() if mark else "", function=frame["function"],
+                         type=frame["type"], effect=frame["effect"], id=frame["id"], work_ms=work,
+                         activation=frame.get("activation", ""))
+        self.push(now, work)
+        if len(self.jobs) >= self.machine.most or self.draining:
+            self.answer(peer, "full", id=frame["id"])
+            return
+        job = Job(peer, frame, now, now + frame["left"])
+        self.jobs[id(peer), frame["id"]] = job
+        shelf = self.shelf(frame["function"])
+        shelf.lanes = max(1, int(frame.get("lanes", 1)))
+        shelf.queue.append(job)
+        self.serve(frame["function"], shelf, job)
+
+    def push(self, now: int, work: float) -> None:
+        """Falls over, and stays down, when sent too much while cold."""
+        it = self.machine
+        if not it.cold_time or now - self.started >= it.cold_time:
+            return
+        self.pushed.append((now, work))
+        while self.pushed[0][0] <= now - it.fall_time:
+            self.pushed.popleft()
+        bears = it.fall_multiple * self.able(now) * it.cores * it.fall_time / MS
+        if sum(each for _, each in self.pushed) > bears and len(self.pushed) > 3:
+            self.record.note("fell-over", pushed_ms=sum(each for _, each in self.pushed), bears_ms=bears)
+            os._exit(9)
+
+    def able(self, now: int) -> float:
+        it = self.machine
+        warm = min(1.0, (now - self.started) / it.cold_time) if it.cold_time else 1.0
+        return it.cold_share + (1 - it.cold_share) * warm
+
+    # Copies.
+
+    def shelf(self, function: str) -> Shelf:
+        return self.shelves.setdefault(function, Shelf())
+
+    def serve(self, function: str, shelf: Shelf, newest: Job | None = None) -> None:
+        """Begins what can begin; starts a load where calls wait and none is under way."""
+        while shelf.queue:
+            free = next((copy for copy in shelf.copies if copy.busy < shelf.lanes), None)
+            if free is None:
+                break
+            job = shelf.queue.popleft()
+            free.busy += 1
+            self.group.spawn(self.work, function, shelf, free, job)
+        if newest is None or newest not in shelf.queue:
+            return
+        if not self.machine.loads_on_miss:
+            if not shelf.copies and not shelf.loading:
+                shelf.queue.remove(newest)
+                self.done(newest, "miss")
+        elif len(shelf.queue) > shelf.loading * shelf.lanes:
+            newest.copy = "began"
+            self.group.spawn(self.bring, function, shelf)
+        else:
+            newest.copy = "waited"
+
+    def bring(self, function: str, shelf: Shelf) -> None:
+        """One load, from the fetch to the copy that stands."""
+        shelf.loading += 1
+        self.loading += 1
+        try:
+            with self.load_slots:
+                pack = self.fetch(function)
+                if isinstance(pack, dict) and not self.room(pack["memory_mb"]):
+                    pack = "no memory is free"
+                if isinstance(pack, dict):
+                    self.used_mb += pack["memory_mb"]
+                    gevent.sleep(pack["start_ms"] * self.slowness() / 1000)
+                    shelf.copies.append(Loaded(pack, idle_since=time.monotonic_ns()))
+        finally:
+            shelf.loading -= 1
+            self.loading -= 1
+        shelf.failed = pack if isinstance(pack, str) else ""
+        self.record.note("load", function=function, failed=shelf.failed)
+        if shelf.failed and not shelf.copies and not shelf.loading:
+            while shelf.queue:
+                self.done(shelf.queue.popleft(), "miss", load_failed=True)
+        changed, shelf.changed = shelf.changed, Event()
+        changed.set()
+        self.serve(function, shelf)
+
+    def fetch(self, function: str) -> dict[str, Any] | str:
+        """The pack, checked against its digest, or why there is none. A pack that fails is never run."""
+        try:
+            sock = connect(self.store, SECOND)
+        except OSError as problem:
+            return f"store: {problem}"
+        try:
+            sock.sendall(encode("hello", version=VERSION, name=self.machine.name)
+                         + encode("fetch", id=1, function=function))
+            sock.settimeout(10)
+            frames = Frames(LONGEST_FRAME)
+            while data := sock.recv(READ):
+                for frame in frames.feed(data):
+                    if frame["kind"] != "pack":
+                        return f"store: {frame.get('reason', frame['kind'])}"
+                    if hashlib.sha256(frame["body"]).hexdigest() != frame["digest"]:
+                        return "the pack does not match its digest"
+                    return json.loads(frame["body"])
+            return "store: closed"
+        except (OSError, Refused) as problem:
+            return f"store: {problem}"
+        finally:
+            sock.close()
+
+    def room(self, wanted_mb: float) -> bool:
+        """Makes room by unloading idle copies, the longest idle first."""
+        idle = sorted((copy.idle_since, id(copy), shelf, copy) for shelf in self.shelves.values()
+                       for copy in shelf.copies if not copy.busy)
+        for _, _, shelf, copy in idle:
+            if self.used_mb + wanted_mb <= self.machine.memory_mb:
+                break
+            self.unload(shelf, copy)
+        return self.used_mb + wanted_mb <= self.machine.memory_mb
+
+    def unload(self, shelf: Shelf, copy: Loaded) -> None:
+        shelf.copies.remove(copy)
+        self.used_mb -= copy.pack["memory_mb"]
+
+    def hold(self, peer: Peer, frame: Frame) -> None:
+        """Answers once the copies stand, or it is plain that they will not."""
+        shelf, wanted = self.shelf(frame["function"]), frame["copies"]
+        if self.draining:
+            self.answer(peer, "held", id=frame["id"], outcome="full", copies=0)
+            return
+        for copy in shelf.copies:
+            copy.idle_since = time.monotonic_ns()
+        for _ in range(wanted - len(shelf.copies) - shelf.loading):
+            self.group.spawn(self.bring, frame["function"], shelf)
+        gevent.sleep(0)
+        while len(shelf.copies) < wanted and shelf.loading:
+            shelf.changed.wait()
+        outcome = "stands" if len(shelf.copies) >= wanted else "error"
+        self.answer(peer, "held", id=frame["id"], outcome=outcome, copies=len(shelf.copies))
+
+    # Running.
+
+    def slowness(self) -> float:
+        return max(1.0, self.faults.amount("slow")) / self.able(time.monotonic_ns())
+
+    def work(self, function: str, shelf: Shelf, copy: Loaded, job: Job) -> None:
+        """One call on one lane."""
+        try:
+            while hung := self.faults.left("hang"):
+                gevent.sleep(hung)
+            with self.cores:
+                if job.cancelled or time.monotonic_ns() >= job.ends:
+                    self.done(job, "full")          # never begun
+                    return
+                self.running += 1
+                mark = MARK.search(job.frame["body"][:256])
+                self.record.note("run", front=job.peer.name, mark=mark[1].decode() if mark else "",
+                                 function=function, effect=job.frame["effect"])
+                try:
+                    work_ms = (job.frame.get("work") or 0) / MS or copy.pack["work_ms"]
+                    gevent.sleep(work_ms * self.slowness() / self.machine.size / 1000)
+                finally:
+                    self.running -= 1
+            while hung := self.faults.left("hang"):
+                gevent.sleep(hung)
+            key = job.frame.get("mark") if job.frame["effect"] == "deduplicated" else None
+            body, error = run(copy.pack["operation"], job.frame["body"])
+            if key is not None:
+                body = self.remembered.setdefault(key, body)
+            if late := self.faults.amount("late"):
+                gevent.sleep(late / 1000)
+            self.done(job, "result", body=body, function_error=error, copy=job.copy,
+                      waited=time.monotonic_ns() - job.came)
+        finally:
+            copy.busy -= 1
+            copy.idle_since = time.monotonic_ns()
+            self.serve(function, shelf)
+
+    def done(self, job: Job, kind: str, **fields: Any) -> None:
+        self.jobs.pop((id(job.peer), job.frame["id"]), None)
+        self.answer(job.peer, kind, id=job.frame["id"], **fields)
+
+    def answer(self, peer: Peer, kind: str, **fields: Any) -> None:
+        if self.faults.once("break-after-run"):
+            peer.raw(None)
+        elif self.faults.once("break-mid-frame"):
+            peer.raw(encode(kind, load=self.load, **fields)[:7])
+            peer.raw(None)
+        else:
+            peer.send(kind, load=self.load, **fields)
+
+    def gone(self, peer: Peer) -> None:
+        for job in self.jobs.values():
+            if job.peer is peer:
+                job.cancelled = True        # nobody waits for it; what has begun runs on
+
+    # Beside.
+
+    def tend(self) -> None:
+        """Idle copies go, reports are made anew, and a standstill of this process is recorded."""
+        before = reported = time.monotonic_ns()
+        while True:
+            gevent.sleep(TICK / SECOND)
+            now = time.monotonic_ns()
+            if now - before > 5 * TICK:
+                self.record.note("stood-still", since=before)
+            before = now
+            for shelf in self.shelves.values():
+                for copy in [each for each in shelf.copies if not each.busy]:
+                    if now - copy.idle_since > self.machine.keep:
+                        self.unload(shelf, copy)
+            if now - reported >= self.machine.report_every and not self.faults.amount("lie"):
+                reported = now
+                pinned = sum(copy.pack["memory_mb"] for shelf in self.shelves.values()
+                             for copy in shelf.copies if copy.busy) / self.machine.memory_mb
+                self.load = {"waiting": float(sum(len(shelf.queue) for shelf in self.shelves.values())),
+                             "held": float(len(self.jobs)), "busy": self.running / self.machine.cores,
+                             "loading": float(self.loading), "pinned": min(1.0, pinned)}
