--- /dev/null
+++ b/threadshift/days/play.py
@@ -0,0 +1,164 @@
+"""Plays a day with real processes on loopback: gateway front ends, workers, store, roster feed and clients.
+
+What each stand-in saw at its sockets, and what the conductor did to processes, is left in one folder for the audit.
+"""
+from __future__ import annotations
+
+import signal
+import time
+from pathlib import Path
+
+import gevent
+
+from threadshift.conf.values import Address
+from threadshift.days.day import Day
+from threadshift.days.orders import Order, names, orders
+from threadshift.interface import MS, SECOND
+from threadshift.invoke.client import Client, NoAnswer
+from threadshift.standins.common import Record
+from threadshift.standins.rig import Rig, free_ports
+
+READY_LIMIT = 30           # s until every front end must have a link to every worker
+AFTER = 3                  # s over the longest action timeout in which clients must have ended
+MB = 1 << 20
+
+
+class Conductor:
+    """One day, once. Its folder holds day.conf and the records."""
+
+    def __init__(self, day: Day, text: str, seed: int, folder: Path):
+        self.day, self.seed, self.folder = day, seed, folder
+        folder.mkdir(parents=True, exist_ok=True)
+        (folder / "day.conf").write_text(text)
+        self.record = Record(str(folder / "conductor.jsonl"))
+        self.rig = Rig(folder)
+        self.zones = names(day)
+
+    def play(self) -> None:
+        with self.rig:
+            ports = self.start()
+            start = time.monotonic_ns() + SECOND // 2
+            self.record.note("day", seed=self.seed, start=start, grace=self.day.told.deployment.drain_grace)
+            clients = self.rig.start(
+                "clients", "standin", "clients", str(self.folder / "day.conf"), f"--seed={self.seed}",
+                f"--start={start}", f"--record={self.folder / 'clients.jsonl'}",
+                *(f"--front=127.0.0.1:{port}" for port in ports))
+            for order in orders(self.day, self.seed):
+                gevent.sleep(max(0, start + order.at - time.monotonic_ns()) / SECOND)
+                self.carry_out(order)
+            longest = max(each.action_timeout for each in self.day.told.deployment.types)
+            retries = sum(each.retry_after << each.retries for each in self.day.traffic)
+            end = start + self.day.length + 3 * longest + retries + AFTER * SECOND
+            clients.process.wait(max(1, (end - time.monotonic_ns()) / SECOND))
+            self.record.note("over")
+
+    # Starting.
+
+    def start(self) -> list[int]:
+        """Everything up, every front end linked to every worker and the fleet warm; the front ends' ports."""
+        day, rig = self.day, self.rig
+        rig.standin("store", "store", capacity=day.store.capacity, load_ms=day.store.load_time / MS,
+                    memory_mb=day.store.pack / MB)
+        rig.standin("roster", "roster")
+        rig.listening("store")
+        rig.listening("roster")
+        for name in self.zones:
+            self.start_worker(name)
+        for name in self.zones:
+            self.list_worker(name)
+        warm = time.monotonic() + day.told.deployment.cold_time / SECOND
+        ports = free_ports(day.front_ends)
+        for n, port in enumerate(ports):
+            zone = day.fleet.zones[n % len(day.fleet.zones)]
+            (self.folder / f"front-{n}.conf").write_text(
+                f"listen 127.0.0.1:{port}\nname front-{n}\nzone {zone}\nroster feed {rig.at['roster']}\n"
+                f"log json info\n{with_front_ends(day)}\n")
+            self.start_front(n)
+        for port in ports:
+            self.wait_for(port)
+        gevent.sleep(max(0, warm - time.monotonic()))
+        return ports
+
+    def start_front(self, n: int) -> None:
+        self.rig.front_end(f"front-{n}", self.folder / f"front-{n}.conf")
+        self.record.note("front-up", front=n)
+
+    def start_worker(self, name: str) -> None:
+        day, told = self.day, self.day.told.deployment
+        self.rig.standin(
+            name, "worker", name=name, store=self.rig.at["store"], zone=self.zones[name], cores=day.fleet.cores,
+            memory_mb=day.fleet.memory / MB, keep=f"{told.idle_keep // MS}ms", cold_share=told.cold_share,
+            cold_time=f"{told.cold_time // MS}ms", fall_multiple=told.fall_multiple,
+            fall_time=f"{told.fall_time // MS}ms", report_every=f"{day.fleet.report_every // MS}ms")
+        self.record.note("worker-up", worker=name)
+
+    def list_worker(self, name: str) -> None:
+        at = self.rig.listening(name)
+        self.rig.processes["roster"].order(
+            f"worker {name} {at} zone {self.zones[name]} started {time.time_ns()}")
+
+    def wait_for(self, port: int) -> None:
+        client, until = Client(Address("127.0.0.1", port)), time.monotonic() + READY_LIMIT
+        while time.monotonic() < until:
+            try:
+                body = client.ask("GET", "/v1/status").body
+                if body.count(b'"link": true') == self.day.fleet.workers:
+                    client.close()
+                    return
+            except NoAnswer:
+                pass
+            gevent.sleep(0.05)
+        raise RuntimeError(f"the front end at port {port} did not link to its workers in time")
+
+    # Orders.
+
+    def carry_out(self, order: Order) -> None:
+        self.record.note("order", who=order.who, words=order.words)
+        if order.words.startswith("!"):
+            getattr(self, order.words[1:].replace("-", "_"))(order.who)
+        elif order.who == "workers":
+            for name in self.zones:
+                self.rig.processes[name].order(order.words)
+        else:
+            self.rig.processes[order.who].order(order.words)
+
+    def kill(self, who: str) -> None:
+        self.record.note("killing", who=who)
+        self.rig.kill(who)
+        self.record.note("killed", who=who)
+
+    def renew(self, who: str) -> None:
+        """Starts a process anew, cold; one that still runs is killed first."""
+        if self.rig.processes[who].alive:
+            self.kill(who)
+        if who.startswith("front"):
+            self.start_front(int(who.removeprefix("front-")))
+        else:
+            self.start_worker(who)
+            gevent.spawn(self.list_worker, who)
+
+    def stop(self, who: str) -> None:
+        self.record.note("stopped", who=who)
+        self.rig.processes[who].signal(signal.SIGSTOP)
+
+    def go_on(self, who: str) -> None:
+        self.rig.processes[who].signal(signal.SIGCONT)
+        self.record.note("goes-on", who=who)
+
+
+
+
+def with_front_ends(day: Day) -> str:
+    """The gateway's own blocks, told how many front ends there are in all."""
+    count = f"front-ends-in-all {day.front_ends}"
+    if "front-ends-in-all" in day.gateway:
+        return day.gateway
+    if "fleet {" in day.gateway:
+        return day.gateway.replace("fleet {", "fleet {\n" + count, 1)
+    return f"{day.gateway}\nfleet {{\n{count}\n}}"
+
+
+def clear(folder: Path) -> None:
+    """Removes the records of an earlier run, and nothing else."""
+    for path in [*folder.glob("*.jsonl"), *folder.glob("*.err"), *folder.glob("front-*.conf")]:
+        path.unlink()
--- a/threadshift/gateway/front_end.py
+++ b/threadshift/gateway/front_end.py
@@ -122,7 +122,8 @@
             self.links.pop(it.worker).stop()
             link = None
         if link is None and it.state is not State.GONE:
-            self.links[it.worker] = Link(it.worker, it.address, self.told.bounds, self.name, self, self.chance)
+            self.links[it.worker] = Link(it.worker, it.address, self.told.bounds, self.name,
+                                         self.told.deployment.zone, self, self.chance)
 
     def told_of(self, listings: list) -> None:
         if listings:
--- a/threadshift/links/link.py
+++ b/threadshift/links/link.py
@@ -48,10 +48,10 @@
 class Link:
     """The connection to one worker. Keys are ids of frames; `waiting` has what each id's answer goes to."""
 
-    def __init__(self, worker: str, address: Address, bounds: Bounds, front_end: str, owner: Answered,
+    def __init__(self, worker: str, address: Address, bounds: Bounds, front_end: str, zone: str, owner: Answered,
                  chance: Callable[[], float]):
-        self.worker, self.address, self.bounds, self.front_end, self.owner = (
-            worker, address, bounds, front_end, owner)
+        self.worker, self.address, self.bounds, self.owner = worker, address, bounds, owner
+        self.front_end, self.zone = front_end, zone
         self.outbox = Outbox(bounds.worker_buffer)
         self.redial = Redial(chance)
         self.not_before = 0
@@ -140,7 +140,7 @@
     def greet(self, frames: Frames) -> None:
         """Hellos both ways; the worker's name must be the one the roster has for this address."""
         assert self.sock is not None
-        self.sock.sendall(encode("hello", version=VERSION, name=self.front_end))
+        self.sock.sendall(encode("hello", version=VERSION, name=self.front_end, zone=self.zone))
         first: list[Frame] = []
         until = time.monotonic_ns() + self.bounds.connect
         while not first:
--- a/threadshift/standins/common.py
+++ b/threadshift/standins/common.py
@@ -65,7 +65,8 @@
     """One connection to a stand-in; frames out are queued and written by a greenlet of its own."""
 
     def __init__(self, sock: socket.socket):
-        self.sock, self.name = sock, ""
+        self.sock, self.name, self.zone = sock, "", ""
+        self.cut: Callable[[Peer], float] = lambda peer: 0
         self.queue: Queue = Queue(WAITING)
 
     def send(self, kind: str, **fields: Any) -> None:
@@ -81,6 +82,8 @@
     def write(self) -> None:
         with suppress(OSError):
             while (data := self.queue.get()) is not None:
+                while cut := self.cut(self):
+                    gevent.sleep(cut)
                 self.sock.sendall(data)
             self.sock.shutdown(socket.SHUT_RDWR)
 
@@ -112,14 +115,15 @@
 
     def converse(self, sock: socket.socket) -> None:
         peer, frames = Peer(sock), Frames(LONGEST_FRAME)
+        peer.cut = self.cut_off
         writer = gevent.spawn(peer.write)
         self.peers.add(peer)
         try:
             while data := sock.recv(READ):
                 for frame in frames.feed(data):
                     self.hear(peer, frame)
-                while stalled := self.faults.left("stall"):
-                    gevent.sleep(stalled)       # accepts, but reads nothing on
+                while cut := self.cut_off(peer):
+                    gevent.sleep(cut)       # accepts, but reads nothing on
         except Refused as problem:
             peer.send("refused", reason=str(problem))
             gevent.sleep(0.01)
@@ -134,6 +138,10 @@
     def hear(self, peer: Peer, frame: Frame) -> None:
         raise NotImplementedError
 
+    def cut_off(self, peer: Peer) -> float:
+        """Seconds for which nothing is read from this peer or written to it."""
+        return self.faults.left("stall")
+
     def gone(self, peer: Peer) -> None:
         """A peer's connection ended."""
 
--- /dev/null
+++ b/threadshift/standins/rig.py
@@ -0,0 +1,120 @@
+"""Starts the gateway and its stand-ins as real processes on loopback, passes orders on, and ends them all."""
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import gevent
+from gevent import socket, subprocess
+
+from threadshift.conf import values
+from threadshift.conf.values import Address
+
+START_LIMIT = 20           # s until a started process must say where it listens; many start at once
+END_LIMIT = 15             # s until one that was told to end is killed
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports that nobody listened at a moment ago; all held open at once, so that they differ."""
+    socks = [socket.socket() for _ in range(count)]
+    try:
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in socks]
+    finally:
+        for sock in socks:
+            sock.close()
+
+
+class Process:
+    """One process of ours."""
+
+    def __init__(self, arguments: list[str], errors: Path):
+        with open(errors, "ab") as file:
+            self.process = subprocess.Popen([sys.executable, "-m", "threadshift", *arguments],
+                                            stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=file)
+
+    def address(self) -> Address:
+        """Where it says that it listens. Waits; raises RuntimeError where it says nothing in time."""
+        with gevent.Timeout(START_LIMIT, RuntimeError("a stand-in did not start in time")):
+            line = self.process.stdout.readline().decode()
+        if not line.startswith("listening "):
+            raise RuntimeError(f"a stand-in did not start: {line!r}")
+        return values.address(line.split()[1])
+
+    def order(self, words: str) -> None:
+        try:
+            self.process.stdin.write(words.encode() + b"\n")
+            self.process.stdin.flush()
+        except OSError:
+            pass                # it died before it heard; its record says so
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    @property
+    def alive(self) -> bool:
+        return self.process.poll() is None
+
+    def end(self) -> None:
+        """Tells it to end and waits; kills it where it does not."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        try:
+            self.process.wait(END_LIMIT)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+        self.process.stdin.close()
+        if self.process.stdout is not None:
+            self.process.stdout.close()
+
+
+class Rig:
+    """Processes by name, their records and errors in one folder. Ended by end(), or on leaving `with`."""
+
+    def __init__(self, folder: Path):
+        self.folder = folder
+        self.processes: dict[str, Process] = {}
+        self.at: dict[str, Address] = {}
+
+    def __enter__(self) -> Rig:
+        return self
+
+    def __exit__(self, *_: Any) -> None:
+        self.end()
+
+    def start(self, name: str, *arguments: str) -> Process:
+        it = self.processes[name] = Process(list(arguments), self.folder / f"{name}.err")
+        return it
+
+    def standin(self, name: str, kind: str, /, **options: Any) -> Process:
+        """A stand-in whose options are those of its sub-command; it listens where it did before, if it did."""
+        words = [f"--{key.replace('_', '-')}={value}" for key, value in options.items() if value is not None]
+        return self.start(name, "standin", kind, f"--listen={self.at.get(name, '127.0.0.1:0')}",
+                          f"--record={self.folder / f'{name}.jsonl'}", *words)
+
+    def listening(self, name: str) -> Address:
+        self.at[name] = self.processes[name].address()
+        return self.at[name]
+
+    def front_end(self, name: str, conf: Path, index: int = 0) -> Process:
+        return self.start(name, "front-end", str(conf), "--index", str(index))
+
+    def kill(self, name: str) -> None:
+        """SIGKILL, as a crash would."""
+        process = self.processes[name].process
+        if process.poll() is None:
+            os.kill(process.pid, signal.SIGKILL)
+            process.wait()
+
+    def end(self) -> None:
+        # Front ends first: they need their workers to answer what they hold.
+        for names in ([name for name in self.processes if name.startswith("front")],
+                      [name for name in self.processes if not name.startswith("front")]):
+            gevent.joinall([gevent.spawn(self.processes[name].end) for name in names])
+        self.processes.clear()
--- a/threadshift/standins/worker.py
+++ b/threadshift/standins/worker.py
@@ -26,9 +26,15 @@
 from threadshift.standins.common import LONGEST_FRAME, Peer, Record, Server
 
 MARK = re.compile(rb'"mark":"([^"]{1,64})"')
+WORK = re.compile(rb'"work_ms":([0-9.]{1,12})')
 TICK = 20 * MS             # how often idle copies, reports and our own stalls are looked at
 
 
+def mark_of(body: bytes) -> str:
+    found = MARK.search(body[:256])
+    return found[1].decode(errors="replace") if found else ""
+
+
 def run(operation: str, body: bytes) -> tuple[bytes, str | None]:
     """What a function answers, and the name of its own error, if any."""
     if operation == "upper":
@@ -102,7 +108,8 @@
 
 
 class Worker(Server):
-    """Orders: die, hang L, slow L X, stall L, late L MS, lie L, break-mid-frame, break-after-run, drain, flush."""
+    """Orders: die, hang L, slow L X, stall L, cut L (stalls for front ends of other zones), late L MS, lie L,
+    break-mid-frame L, break-after-run L, drain, flush."""
 
     def __init__(self, address: Address, machine: Machine, store: Address, record: Record):
         super().__init__(address)
@@ -149,7 +156,7 @@
                 raise Refused("a second hello")
             if frame["version"] != VERSION:
                 raise Refused(f"version {frame['version']} is not spoken here, version {VERSION} is")
-            peer.name = frame["name"] or "?"
+            peer.name, peer.zone = frame["name"] or "?", str(frame.get("zone", ""))
             peer.send("hello", version=VERSION, name=self.machine.name, started=self.started_wall,
                       size=self.machine.size, zone=self.machine.zone, draining=self.draining)
         elif not peer.name:
@@ -177,13 +184,12 @@
 
     def invoke(self, peer: Peer, frame: Frame) -> None:
         now = time.monotonic_ns()
-        mark = MARK.search(frame["body"][:256])
         work = (frame.get("work") or 0) / MS
-        self.record.note("invoke", front=peer.name, mark=mark[1].decode() if mark else "", function=frame["function"],
-                         type=frame["type"], effect=frame["effect"], id=frame["id"], work_ms=work,
-                         activation=frame.get("activation", ""))
+        self.record.note("invoke", front=peer.name, mark=mark_of(frame["body"]), function=frame["function"],
+                         type=frame["type"], effect=frame["effect"], work_ms=work)
         self.push(now, work)
         if len(self.jobs) >= self.machine.most or self.draining:
+            self.record.note("turned", mark=mark_of(frame["body"]), kind="full")
             self.answer(peer, "full", id=frame["id"])
             return
         job = Job(peer, frame, now, now + frame["left"])
@@ -331,11 +337,11 @@
                     self.done(job, "full")          # never begun
                     return
                 self.running += 1
-                mark = MARK.search(job.frame["body"][:256])
-                self.record.note("run", front=job.peer.name, mark=mark[1].decode() if mark else "",
-                                 function=function, effect=job.frame["effect"])
+                self.record.note("run", front=job.peer.name, mark=mark_of(job.frame["body"]), function=function,
+                                 effect=job.frame["effect"])
                 try:
-                    work_ms = (job.frame.get("work") or 0) / MS or copy.pack["work_ms"]
+                    real = WORK.search(job.frame["body"][:256])
+                    work_ms = float(real[1]) if real else (job.frame.get("work") or 0) / MS or copy.pack["work_ms"]
                     gevent.sleep(work_ms * self.slowness() / self.machine.size / 1000)
                 finally:
                     self.running -= 1
@@ -356,6 +362,8 @@
 
     def done(self, job: Job, kind: str, **fields: Any) -> None:
         self.jobs.pop((id(job.peer), job.frame["id"]), None)
+        if kind in ("full", "miss"):
+            self.record.note("turned", mark=mark_of(job.frame["body"]), kind=kind)
         self.answer(job.peer, kind, id=job.frame["id"], **fields)
 
     def answer(self, peer: Peer, kind: str, **fields: Any) -> None:
@@ -367,6 +375,9 @@
         else:
             peer.send(kind, load=self.load, **fields)
 
+    def cut_off(self, peer: Peer) -> float:
+        return max(super().cut_off(peer), self.faults.left("cut") if peer.zone != self.machine.zone else 0)
+
     def gone(self, peer: Peer) -> None:
         for job in self.jobs.values():
             if job.peer is peer:
