--- a/tests/live.py
+++ b/tests/live.py
@@ -18,6 +18,7 @@
 ANY = Address("127.0.0.1", 0)
 CONF = """
 listen 127.0.0.1:{port}
+name front-0
 roster feed {feed}
 type check {{
     target-latency 600ms
@@ -84,9 +85,9 @@
 class Live:
     """Started with `with`; everything it started is ended with it."""
 
-    def __init__(self, workers=2, fleet="", bounds="", load_ms=20, work_ms=2, start=True, **machine):
-        self.log = Silent()
-        self.feed = RosterFeed(ANY, Record(None))
+    def __init__(self, workers=2, fleet="", bounds="", load_ms=20, work_ms=2, records=None, **machine):
+        self.log, self.records = Silent(), records
+        self.feed = RosterFeed(ANY, self.record("roster"))
         self.store = PackStore(ANY, 8, work_ms, 100, load_ms, Record(None))
         self.feed.start()
         self.store.start()
@@ -99,8 +100,11 @@
         self.running = None
         self.extra = []
 
+    def record(self, name):
+        return Record(f"{self.records}/{name}.jsonl" if self.records else None)
+
     def worker(self, name, **machine):
-        it = self.workers[name] = Worker(ANY, Machine(name, **machine), self.store.address, Record(None))
+        it = self.workers[name] = Worker(ANY, Machine(name, **machine), self.store.address, self.record(name))
         it.start()
         self.list(name, it.address)
         return it
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,224 @@
+"""The daemon as users start it: real processes, killed, told to end, to reload, and kept from starting."""
+import json
+import os
+import re
+import signal
+import tempfile
+import time
+import unittest
+from contextlib import closing
+from pathlib import Path
+
+import gevent
+from gevent import socket
+
+from tests.live import Live, until
+from threadshift.conf.values import Address
+from threadshift.gateway.demo import Demo
+from threadshift.gateway.restarts import FIRST, MOST, STEADY, Restarts
+from threadshift.interface import MS, SECOND
+from threadshift.invoke.client import Client, NoAnswer
+from threadshift.standins.rig import Rig, free_ports
+
+
+def ask(port, path="/v1/functions/text-upper/calls", body=b"x", method="POST", **headers):
+    with closing(Client(Address("127.0.0.1", port))) as client:
+        return client.ask(method, path, {name.replace("_", "-"): value for name, value in headers.items()}, body)
+
+
+def answers(port):
+    try:
+        return ask(port).status == 200
+    except NoAnswer:
+        return False
+
+
+class Daemon(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.folder = tempfile.TemporaryDirectory()
+        cls.port = free_ports(1)[0]
+        cls.demo = Demo(Path(cls.folder.name), cls.port, 2, 3)
+        cls.demo.__enter__()
+        conf = Path(cls.folder.name) / "threadshift.conf"
+        cls.own = int(re.search(r"own-ports (\d+)", conf.read_text())[1])
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.demo.__exit__()
+        cls.folder.cleanup()
+
+    def pid(self, index):
+        return json.loads(ask(self.own + index, "/v1/status", method="GET").body)["pid"]
+
+    def log(self):
+        return (Path(self.folder.name) / "front.err").read_text()
+
+    def test_front_ends_share_a_port_and_nothing_else(self):
+        fronts = {ask(self.port).headers["activation"].rsplit("-", 2)[0] for _ in range(60)}
+        self.assertEqual(fronts, {"front-0", "front-1", "front-2"})
+        for _ in range(6):
+            first = ask(self.port, prefer="respond-async")
+            where = first.headers["location"]
+            port, path = re.fullmatch(r"http://127\.0\.0\.1:(\d+)(/.*)", where).groups()
+            reply = ask(int(port), path, b"", "GET", prefer="wait=5")
+            self.assertEqual((reply.status, reply.body), (200, b"X"))
+
+    def test_a_front_end_that_dies_is_started_again_while_others_serve(self):
+        dead = self.pid(1)
+        os.kill(dead, signal.SIGKILL)
+        until(lambda: answers(self.own + 1) and self.pid(1) != dead, 10)
+        self.assertIn("front-end-died", self.log())
+        self.assertTrue(all(answers(self.own + n) for n in range(3)))
+
+    def test_a_reload_takes_over_bounds_and_refuses_a_bad_file(self):
+        conf = Path(self.folder.name) / "threadshift.conf"
+        good = conf.read_text()
+        supervisor = self.demo.rig.processes["front"]
+        self.assertEqual(ask(self.port, body=b"x" * 3000).status, 200)
+        conf.write_text(good + "bounds {\n    boddy 2K\n}\n")
+        supervisor.signal(signal.SIGHUP)
+        until(lambda: self.log().count("reload-refused") >= 3)
+        self.assertIn("nearest known is 'body'", self.log())
+        conf.write_text(good + "bounds {\n    body 2K\n}\n")
+        supervisor.signal(signal.SIGHUP)
+        until(lambda: len(re.findall(r"\breloaded\b", self.log())) >= 3)
+        self.assertEqual(ask(self.port, body=b"x" * 3000).status, 413)
+        conf.write_text(good)
+        supervisor.signal(signal.SIGHUP)
+        until(lambda: len(re.findall(r"\breloaded\b", self.log())) >= 6)
+
+
+class Ending(unittest.TestCase):
+    def test_a_drain_answers_what_is_held_and_takes_nothing_new(self):
+        with Live() as live:
+            live.call("f")
+            busy = live.client()
+            busy.ask("GET", "/v1/status")
+            held = gevent.spawn(live.call, "f", b"held", work_hint="400")
+            until(lambda: live.front.desk.owed)
+            began = time.monotonic()
+            live.front.end()
+            until(lambda: live.front.api.closing)
+            late = busy.ask("POST", "/v1/functions/f/calls", {}, b"late")
+            self.assertEqual((late.status, late.headers["final"], late.keep), (503, "rejected", False))
+            with self.assertRaises(NoAnswer):
+                live.call("f")
+            live.running.join(5)
+            self.assertEqual((held.value.status, held.value.body), (200, b"held"))
+            self.assertLess(time.monotonic() - began, 2)
+
+    def test_a_drain_ends_in_the_stated_time_whatever_is_held(self):
+        with Live(bounds="drain 300ms") as live:
+            for worker in live.workers.values():
+                worker.obey(["hang", "9s"])
+            held = gevent.spawn(live.call, "submit-x")
+            until(lambda: live.front.desk.owed)
+            began = time.monotonic()
+            live.front.end()
+            live.running.join(5)
+            self.assertLess(time.monotonic() - began, 1)
+            held.kill()
+
+    def test_a_port_in_use_is_said_and_tried_again_with_growing_pauses(self):
+        with tempfile.TemporaryDirectory() as folder, socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            conf = Path(folder) / "c.conf"
+            conf.write_text(f"listen 127.0.0.1:{taken.getsockname()[1]}\nroster file none\n"
+                            "type a {\ntarget-latency 1s\naction-timeout 1s\neffect repeatable\n}\n")
+            with Rig(Path(folder)) as rig:
+                it = rig.start("front", "run", str(conf))
+                errors = Path(folder) / "front.err"
+                until(lambda: errors.exists() and errors.read_text().count("front-end-died") >= 3, 15)
+                it.end()
+                self.assertEqual(it.process.returncode, 0)
+                pauses = [int(each) for each in re.findall(r'"again_ms": (\d+)', errors.read_text())]
+                self.assertEqual(pauses[:3], [0, FIRST // MS, 2 * FIRST // MS])
+                self.assertIn("Address already in use", errors.read_text())
+                self.assertNotIn("Traceback", errors.read_text())
+
+
+class Stalls(unittest.TestCase):
+    def test_a_standstill_is_noticed_and_logged(self):
+        with Live() as live:
+            time.sleep(0.2)                 # the whole process stands still, as under SIGSTOP
+            until(lambda: live.log.of("stalled"))
+            self.assertGreaterEqual(live.front.longest_stall, 100 * MS)
+
+    def test_pauses_of_restarts(self):
+        it, now = Restarts(), 100 * SECOND
+        pauses = []
+        for _ in range(12):
+            it.start(now)
+            pauses.append(it.died(now + MS) - now - MS)
+        self.assertEqual(pauses[:4], [0, FIRST, 2 * FIRST, 4 * FIRST])
+        self.assertEqual(pauses[-1], MOST)
+        it.start(now)
+        self.assertEqual(it.died(now + STEADY), now + STEADY)
+
+
+class Membership(unittest.TestCase):
+    """What the roster and the workers say, through the running front end."""
+
+    def test_a_lost_feed_keeps_the_last_list_and_says_so(self):
+        with Live() as live:
+            live.feed.stop()
+            until(lambda: live.log.of("roster-lost"))
+            self.assertEqual(live.call("f").status, 200)
+
+    def test_a_gap_in_the_feed_brings_a_full_list(self):
+        with Live() as live:
+            live.feed.obey(["gap"])
+            live.worker("late")
+            until(lambda: "late" in live.front.links and live.front.links["late"].up)
+            self.assertIn("generation", live.log.of("roster-lost")[0]["problem"])
+
+    def test_a_worker_that_says_it_drains_gets_nothing_new(self):
+        with Live() as live:
+            live.call("f")
+            first = next(name for name, it in live.workers.items() if it.shelves)
+            live.workers[first].obey(["drain"])
+            until(lambda: live.log.of("worker-drains"))
+            before = live.workers[first].shelves.keys()
+            for n in range(10):
+                self.assertEqual(live.call(f"g{n}").status, 200)
+            self.assertEqual(live.workers[first].shelves.keys(), before)
+
+    def test_a_worker_that_moves_is_dialled_at_its_new_address(self):
+        with Live(workers=1) as live:
+            live.call("f")
+            old = live.workers["w0"]
+            live.worker("w0")
+            old.stop()
+            until(lambda: live.front.links["w0"].up and live.front.links["w0"].address != old.address)
+            self.assertEqual(live.call("f").status, 200)
+
+    def test_a_worker_that_is_gone_is_let_go_of(self):
+        with Live() as live:
+            live.feed.obey(["drop", "w1"])
+            until(lambda: "w1" not in live.front.links)
+            self.assertEqual(live.call("f").status, 200)
+
+
+class Loading(unittest.TestCase):
+    def test_a_corrupt_pack_is_never_run(self):
+        with Live() as live:
+            live.store.obey(["corrupt", "9s"])
+            reply = live.call("submit-x", time_left="700")
+            self.assertEqual(reply.headers["final"], "rejected")
+            self.assertFalse(any(shelf.copies for it in live.workers.values() for shelf in it.shelves.values()))
+            self.assertTrue(any("digest" in shelf.failed for it in live.workers.values()
+                                for shelf in it.shelves.values()))
+            live.store.obey(["corrupt", "1us"])
+            until(lambda: live.call("submit-x").status == 200)
+
+    def test_a_miss_brings_a_load_order_and_the_call_goes_on(self):
+        with Live(loads_on_miss=False, fleet="    loads-on-miss no\n") as live:
+            reply = live.call("f")
+            self.assertEqual((reply.status, live.front.desk.counts["miss"], live.front.desk.counts["orders"]),
+                             (200, 1, 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/threadshift/audit/rules.py
+++ b/threadshift/audit/rules.py
@@ -15,7 +15,7 @@
 
 SLACK = 150 * MS           # ns between two processes of a busy machine
 CATCHING_UP = SECOND       # ns after a standstill in which a worker still reads what came during it
-NEVER_RAN = ("full", "miss")
+NEVER = 1 << 62            # ns; no time
 COLD_SLACK = 3             # calls that chance may put into one stretch over the budget
 
 
@@ -71,7 +71,7 @@
     spans: dict[str, list[Span]] = defaultdict(list)
     for each in seen:
         if each.event == "killing":
-            spans[each["who"]].append(Span(each.t, 1 << 62))
+            spans[each["who"]].append(Span(each.t, NEVER))
         elif each.event in ("front-up", "worker-up"):
             who = each.facts.get("worker") or f"front-{each['front']}"
             if spans[who]:
@@ -144,6 +144,7 @@
     """Rule 3: nothing new to a worker past the grace after word that it drains or is gone."""
     late = late_readers(seen)
     told: dict[tuple[str, str], int] = {}       # (front, worker): since when it knows
+    own: dict[str, int] = {}                    # worker: since when it says so itself, to all
     for each in seen:
         if each.event == "told":
             listed = each["states"]
@@ -155,9 +156,12 @@
         elif each.event == "up":
             # Another process: word on the one before says nothing of it.
             told = {key: t for key, t in told.items() if key[1] != each.source}
+            own.pop(each.source, None)
+        elif each.event == "order" and each.facts.get("words") == ["drain"]:
+            own.setdefault(each.source, each.t)
         elif each.event in ("invoke", "hold"):
-            since = told.get((each["front"], each.source))
-            if since is not None and each.t > since + grace + SLACK and not any(
+            since = min(told.get((each["front"], each.source), NEVER), own.get(each.source, NEVER))
+            if each.t > since + grace + SLACK and not any(
                     span.covers(each.t) for span in late[each.source]):
                 yield Breach(3, f"{each.event} reached {each.source} {(each.t - since) // MS} ms after "
                                 f"{each['front']} was told that it drains or is gone")
--- a/threadshift/cli.py
+++ b/threadshift/cli.py
@@ -80,7 +80,7 @@
     from threadshift.gateway.front_end import FrontEnd
     from threadshift.log import Log
     it = told(file)
-    log = Log(it.log_form, it.log_level, it.bounds.log_lines, front_end=f"{it.name}-{index}")
+    log = Log(it.log_form, it.log_level, it.bounds.log_lines, front_end=it.front_end(index))
     front = FrontEnd(it, index, log, seed)
 
     def parent_gone() -> None:
@@ -152,6 +152,31 @@
                    f" suspended {one['suspended-ms']} ms")
 
 
+@main.command()
+@click.option("--port", type=int, default=8080, help="Where the gateway listens.")
+@click.option("--workers", type=click.IntRange(1, 32), default=3)
+@click.option("--front-ends", type=click.IntRange(1, 8), default=1)
+@click.option("--seconds", type=float, default=None, help="End by itself after so long.")
+def demo(port: int, workers: int, front_ends: int, seconds: float | None) -> None:
+    """Starts a gateway, workers, a pack store and a roster feed on loopback, all at once, until Ctrl-C."""
+    import tempfile
+    from pathlib import Path
+
+    from threadshift.gateway.demo import Demo
+    with tempfile.TemporaryDirectory(prefix="threadshift-demo-") as scratch:
+        try:
+            with Demo(Path(scratch), port, workers, front_ends) as it:
+                click.echo(f"threadshift listens at http://127.0.0.1:{port} with {workers} workers; try:\n"
+                           f"  curl -d 'hello there' http://127.0.0.1:{port}/v1/functions/text-upper/calls\n"
+                           f"  threadshift call my-sum '3 4 5' --to 127.0.0.1:{port}\n"
+                           f"  threadshift status --to 127.0.0.1:{port}")
+                it.wait(seconds)
+        except KeyboardInterrupt:
+            pass
+        except RuntimeError as problem:
+            raise SystemExit(f"threadshift: {problem}") from None
+
+
 @main.group()
 def standin() -> None:
     """Stand-ins of our own for what stands around a gateway; each takes orders for faults on standard input."""
--- a/threadshift/conf/installation.py
+++ b/threadshift/conf/installation.py
@@ -67,6 +67,10 @@
     functions: tuple[FunctionClass, ...]
     bounds: Bounds
 
+    def front_end(self, index: int) -> str:
+        """The name of one front end here."""
+        return f"{self.name}-{index}" if self.front_ends > 1 else self.name
+
     def function(self, name: str) -> FunctionClass | None:
         return next((each for each in self.functions if fnmatch.fnmatchcase(name, each.pattern)), None)
 
--- /dev/null
+++ b/threadshift/gateway/demo.py
@@ -0,0 +1,106 @@
+"""Everything at once on loopback, for a first look: the gateway with its stand-ins, each a process of its own."""
+from __future__ import annotations
+
+import time
+from pathlib import Path
+
+import gevent
+
+from threadshift.conf.values import Address
+from threadshift.invoke.client import Client, NoAnswer
+from threadshift.links.sockets import listener
+from threadshift.standins.rig import Rig, free_ports
+
+READY_LIMIT = 20           # s until the gateway must have links to all workers
+CONF = """
+listen 127.0.0.1:{port}
+front-ends {front_ends}
+own-ports {own}
+roster feed {roster}
+log console info
+type interactive {{
+    target-latency 600ms
+    action-timeout 2500ms
+    effect repeatable
+}}
+type filing {{
+    target-latency 1s
+    action-timeout 5s
+    utility 2
+    effect once-only
+}}
+functions submit-* {{
+    type filing
+}}
+functions * {{
+    type interactive
+    lanes 2
+}}
+"""
+
+
+class Demo:
+    """Started with `with`; ended with it."""
+
+    def __init__(self, folder: Path, port: int, workers: int, front_ends: int):
+        self.rig, self.port, self.workers, self.front_ends = Rig(folder), port, workers, front_ends
+
+    def __enter__(self) -> Demo:
+        try:
+            self.start()
+        except BaseException:
+            self.rig.end()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.rig.end()
+
+    def start(self) -> None:
+        rig = self.rig
+        rig.standin("store", "store")
+        rig.standin("roster", "roster")
+        rig.listening("store")
+        rig.listening("roster")
+        names = [f"w{n}" for n in range(self.workers)]
+        for name in names:
+            rig.standin(name, "worker", name=name, store=rig.at["store"])
+        for name in names:
+            rig.processes["roster"].order(f"worker {name} {rig.listening(name)}")
+        own = free_ports(1)[0] if self.front_ends == 1 else consecutive(self.front_ends)
+        conf = rig.folder / "threadshift.conf"
+        conf.write_text(CONF.format(port=self.port, front_ends=self.front_ends, own=own, roster=rig.at["roster"]))
+        rig.start("front", "run", str(conf))
+        for at in [self.port] if self.front_ends == 1 else range(own, own + self.front_ends):
+            self.ready(at)
+
+    def ready(self, port: int) -> None:
+        client, until = Client(Address("127.0.0.1", port)), time.monotonic() + READY_LIMIT
+        while time.monotonic() < until and self.rig.processes["front"].alive:
+            try:
+                if client.ask("GET", "/v1/status").body.count(b'"link": true') == self.workers:
+                    client.close()
+                    return
+            except NoAnswer:
+                pass
+            gevent.sleep(0.05)
+        errors = (self.rig.folder / "front.err").read_text().strip().splitlines()
+        raise RuntimeError(f"the gateway did not start: {errors[-1] if errors else 'it says nothing'}")
+
+    def wait(self, seconds: float | None) -> None:
+        """Until the time is up, or the gateway ends."""
+        until = time.monotonic() + seconds if seconds is not None else float("inf")
+        while time.monotonic() < until and self.rig.processes["front"].alive:
+            gevent.sleep(0.1)
+
+
+def consecutive(count: int) -> int:
+    """The first of some ports in a row that nobody listened at a moment ago."""
+    for first in range(20_000, 30_000, count):
+        try:
+            for sock in [listener(Address("127.0.0.1", first + n), shared=False) for n in range(count)]:
+                sock.close()
+            return first
+        except OSError:
+            continue
+    raise RuntimeError("no free ports in a row")
--- a/threadshift/gateway/front_end.py
+++ b/threadshift/gateway/front_end.py
@@ -45,7 +45,7 @@
     def __init__(self, told: Installation, index: int, log: Log, seed: int | None = None):
         now = time.monotonic_ns()
         self.told, self.index, self.log = told, index, log
-        self.name = f"{told.name}-{index}" if told.front_ends > 1 else told.name
+        self.name = told.front_end(index)
         chance = random.Random(seed if seed is not None else random.SystemRandom().getrandbits(63))
         self.chance = chance.random
         bounds = told.bounds
