BGP: last resort before withdrawal, so that halls that fall together keep a route

Need: an address goes where no worker can serve it, but not everywhere at once. Change: a front end that can serve nothing stands at last resort for 3 s, while a better route is still seen, before it withdraws; from withdrawn back to last resort it takes 0.2 s.

--- a/threadshift/bgp/announce.py
+++ b/threadshift/bgp/announce.py
@@ -7,8 +7,10 @@
 - **Unwell signs** say that it serves badly, and that its load does not explain it: no fit worker, a cold fleet, a
   loop that lags while little is asked, answers late while less is asked than it has borne. They make the preference
   worse, down to last resort, and never withdraw by themselves: a hall with a better route takes the traffic all the
-  same, and where all halls are bad for one cause, all stay reachable. Only where a route reflected by a router shows
-  another hall at a better preference, a front end that can serve nothing withdraws.
+  same, and where all halls are bad for one cause, all stay reachable. A front end that can serve nothing withdraws
+  only after it has stood at last resort for CONFIRM while a route reflected by a router showed another hall at a
+  better preference. What is reflected is old by the routers' delay: halls that fall together each still see the
+  others well, and without that time all would withdraw at once.
 - **Overload signs** change nothing. BGP moves all of a hall's traffic or none; moved for load, it would overload the
   next hall and come back. Rejections at the door are what answers overload.
 
@@ -24,6 +26,7 @@
 
 QUICK = 200 * MS           # a sign must stand so long before preference falls; several ticks, a tenth of a hold time
 SLOW = 5 * SECOND          # all must be well so long before it rises a step; a load and some answers take seconds
+CONFIRM = 3 * SECOND       # at last resort before a withdrawal; over the delay with which routers reflect routes
 FLAPS = 5                  # doublings of SLOW at most: 160 s, longer than any usual cause takes to pass
 FORGET = 120 * SECOND      # without a fall, one flap is forgiven
 JITTER = 0.5               # of SLOW, added by chance
@@ -106,16 +109,17 @@
     return sum(each.in_time for each in service.values()) / asked
 
 
-def judge(signs: Signs, borne: Borne, types: frozenset[str], others: int | None) -> Verdict:
+def judge(signs: Signs, borne: Borne, types: frozenset[str], others: int | None, waited: int = 0) -> Verdict:
     """How an address that serves these types (none: all) ought to stand now. `others` counts front ends seen to
-    announce it at a better preference than last resort; None where no router reflects routes."""
+    announce it at a better preference than last resort; None where no router reflects routes. `waited` is for how
+    long it has stood at last resort or below, ns."""
     if not signs.listening:
         return Verdict(Standing.WITHDRAWN, "not-listening")
     if signs.operator is not None:
         return Verdict(signs.operator, "operator")
     if signs.drain is not None:
         return Verdict(signs.drain, "draining")
-    helpless = Standing.WITHDRAWN if others else Standing.LAST
+    helpless = Standing.WITHDRAWN if others and waited >= CONFIRM else Standing.LAST
     if not signs.fit:
         return Verdict(helpless, "no-worker")
     mine = {name: one for name, one in signs.service.items() if not types or name in types}
@@ -142,6 +146,7 @@
     return worst
 
 
+HELPLESS = frozenset({"no-worker", "types-unserved"})
 AT_ONCE = frozenset({"not-listening", "operator", "draining"})      # nothing to wait for: these do not flicker
 
 
@@ -157,6 +162,7 @@
         self.wait = 0                        # how long it must stand
         self.flaps = 0
         self.fell = now
+        self.low = now                       # since when it stands at last resort or below
         self.rose = False                    # since the last fall
         self.changes = 0
 
@@ -174,6 +180,8 @@
                 (SLOW << self.flaps) * (1 + JITTER * self.chance()))
             if self.verdict.reason in ("starting", "operator") and not worse:
                 self.wait = 0        # the first announcement, or an operator's word taken back
+            elif wish.reason in HELPLESS:
+                self.wait = QUICK    # also from withdrawn to last resort: nobody better is left
         if wish.reason in AT_ONCE:
             self.wait = 0
         self.wish = wish
@@ -182,6 +190,11 @@
         self.change(now, wish, worse)
         return True
 
+    def waited(self, now: int) -> int:
+        """For how long it has stood at last resort or below, as a front end that announced itself."""
+        stands = self.verdict.standing >= Standing.LAST and self.verdict.reason != "starting"
+        return now - self.low if stands else 0
+
     def change(self, now: int, wish: Verdict, worse: bool) -> None:
         if worse:
             if self.rose and wish.reason not in AT_ONCE:
@@ -192,6 +205,8 @@
             first = self.verdict.reason in ("starting", "operator")
             step = wish.standing if first else max(wish.standing, Standing(self.verdict.standing - 1))
             wish = Verdict(Standing(step), wish.reason)
-            self.rose = True
+            self.rose = not first
+        if wish.standing >= Standing.LAST > self.verdict.standing:
+            self.low = now
         self.verdict, self.since, self.wish = wish, now, None
         self.changes += 1
--- a/threadshift/bgp/session.py
+++ b/threadshift/bgp/session.py
@@ -64,7 +64,9 @@
 
 
 class Wire(Protocol):
-    """One connection's bytes. dial() ends in tcp_up() or tcp_failed() later."""
+    """One connection's bytes. dial() ends in tcp_up() or tcp_failed() of its session later."""
+
+    session: Session
 
     def dial(self) -> None: ...
     def send(self, data: bytes) -> None: ...
@@ -88,6 +90,7 @@
 
     def __init__(self, neighbour: Neighbour, wire: Wire, dials: bool):
         self.neighbour, self.wire, self.dials = neighbour, wire, dials
+        wire.session = self
         self.state = State.IDLE
         self.timers: dict[str, int] = {}
         self.hold = 0                    # ns, agreed on
--- a/threadshift/cli.py
+++ b/threadshift/cli.py
@@ -84,7 +84,7 @@
     log = Log(it.log_form, it.log_level, it.bounds.log_lines, front_end=it.front_end(index))
     front = FrontEnd(it, index, log, seed)
     # What stands by now stands for good: the collector need not look at it again and again.
-    # Calls leave no rings behind, so the old generations are looked at seldom: a look stands still for 10 ms and more.
+    # Calls leave no rings behind, so old generations are looked at seldom: a look stands still for 10 ms or more.
     gc.collect()
     gc.freeze()
     gc.set_threshold(2_000, 50, 1_000)
--- /dev/null
+++ b/threadshift/gateway/recent.py
@@ -0,0 +1,52 @@
+"""Calls of the last seconds, by namespace type, in buckets of one second. Free of I/O; constant cost a call."""
+from __future__ import annotations
+
+from collections import deque
+
+from threadshift.bgp.announce import Service
+from threadshift.desk.desk import Final, Held
+from threadshift.interface import SECOND, Outcome
+
+BUCKETS = 10               # seconds looked back on; shorter and few calls judge, longer and a fall is seen late
+NEVER_CAME = (Outcome.UNREACHABLE, Outcome.MOOT)
+
+
+class Recent:
+    """Counts final answers as they are given."""
+
+    def __init__(self, utilities: dict[str, float]):
+        self.utilities = utilities
+        self.buckets: deque[tuple[int, dict[str, list[float]]]] = deque()
+
+    def note(self, now: int, held: Held) -> None:
+        """One activation that ended: answered, or left by its client before its target latency was up."""
+        late = now - held.taken > held.act.kind.target
+        if held.gone and not late:
+            return
+        second = now // SECOND
+        if not self.buckets or self.buckets[-1][0] != second:
+            self.buckets.append((second, {}))
+            self.fade(second)
+        row = self.buckets[-1][1].setdefault(held.call.type, [0, 0.0, 0.0, 0, 0])
+        utility = self.utilities[held.call.type]
+        done = held.answer is not None and held.answer.final is Final.COMPLETED
+        row[0] += 1
+        row[1] += utility
+        row[2] += utility * (done and not late)
+        row[3] += done
+        row[4] += not done and all(sent.outcome in NEVER_CAME for sent in held.sends)
+
+    def fade(self, second: int) -> None:
+        while self.buckets and self.buckets[0][0] <= second - BUCKETS:
+            self.buckets.popleft()
+
+    def service(self, now: int) -> dict[str, Service]:
+        self.fade(now // SECOND)
+        sums: dict[str, list[float]] = {}
+        for _, rows in self.buckets:
+            for name, row in rows.items():
+                sums[name] = [one + other for one, other in zip(sums.get(name, [0] * 5), row, strict=True)]
+        return {name: Service(int(row[0]), row[1], row[2], int(row[3]), int(row[4])) for name, row in sums.items()}
+
+    def per_second(self, now: int) -> float:
+        return sum(each.asked for each in self.service(now).values()) / BUCKETS
