Speaker in the gateway, admin listener, router stand-in; cheap refusals at the door

Need: announcements must follow what the front end knows, and overload must not spend the processor on refusals. Change: bgp block, hall, threadshift bgp show and words, a router that steers connections; time limits of connections are looked at together; refusals are written by the reader; the lag wanted is a fifth of the shortest target latency (at 25 ms a round over 900 refused connections alone was over it, and one call in twenty was let in).

--- a/threadshift/bgp/speaker.py
+++ b/threadshift/bgp/speaker.py
@@ -176,7 +176,7 @@
     """All neighbours of one front end. tick() is wanted a few times a second; stop() ends every greenlet."""
 
     def __init__(self, us: Us, peers: Sequence[PeerAddress], listen: Address | None,
-                 wanted: Callable[[bool], dict[Prefix, Path]], note: Callable[..., Any], chance: Callable[[], float]):
+                 wanted: Callable[[Them], dict[Prefix, Path]], note: Callable[..., Any], chance: Callable[[], float]):
         self.us, self.listen, self.wanted, self.note = us, listen, wanted, note
         self.peers = {peer.them.name: peer for peer in peers}
         self.heard = Heard(MOST_HEARD)
@@ -226,7 +226,7 @@
         for name, told in self.told.items():
             session = self.neighbours[name].established_session
             if session is not None:
-                for data in told.changes(self.wanted(self.peers[name].them.internal(self.us))):
+                for data in told.changes(self.wanted(self.peers[name].them)):
                     session.wire.send(data)
 
     def stop(self, reason: str) -> None:
@@ -250,7 +250,7 @@
         session = neighbour.session
         told = self.told[name] = Told(session.can.families & self.us.can.families, session.reader.four_octets)
         self.note("bgp-up", peer=name, hold_s=session.hold // SECOND)
-        for data in told.first(self.wanted(neighbour.them.internal(self.us))):
+        for data in told.first(self.wanted(neighbour.them)):
             session.wire.send(data)
 
     def down(self, now: int, neighbour: Neighbour, why: str) -> None:
@@ -270,8 +270,9 @@
 
     def refresh_asked(self, neighbour: Neighbour, family: Family) -> None:
         told, session = self.told.get(neighbour.them.name), neighbour.established_session
-        for data in told.again(family) if told and session else ():
-            session.wire.send(data)
+        if told is not None and session is not None:
+            for data in told.again(family):
+                session.wire.send(data)
 
     def noted(self, neighbour: Neighbour, problem: str) -> None:
         self.note("bgp-mended", peer=neighbour.them.name, problem=problem)
--- a/threadshift/cli.py
+++ b/threadshift/cli.py
@@ -183,6 +183,61 @@
             raise SystemExit(f"threadshift: {problem}") from None
 
 
+@main.group()
+def bgp() -> None:
+    """Announcements of service addresses: what stands, and the operator's word on them."""
+
+
+ADMIN = click.option("--to", type=ADDRESS, default="127.0.0.1:9090", help="The front end's admin address.")
+
+
+def ordered(to, method: str, path: str, body: str = "") -> dict:
+    """The answer of a front end's admin listener."""
+    from threadshift.invoke.client import Client, NoAnswer
+    try:
+        reply = Client(to).ask(method, path, {}, body.encode())
+        told = json.loads(reply.body)
+    except (NoAnswer, ValueError) as problem:
+        raise SystemExit(f"threadshift: {to}: {problem}") from None
+    if reply.status != 200:
+        raise SystemExit(f"threadshift: {told['detail']}")
+    return told
+
+
+@bgp.command("show")
+@ADMIN
+def bgp_show(to) -> None:
+    """Addresses with their standing and its reason; peers with their state."""
+    found = ordered(to, "GET", "/v1/status")["announcements"]
+    if found is None:
+        raise SystemExit("threadshift: this front end announces nothing: its configuration has no 'bgp' block")
+    for prefix, one in found["addresses"].items():
+        word = f"  operator says {one['operator']}" if one["operator"] else ""
+        others = f"  others {one['others']}" if one["others"] is not None else ""
+        click.echo(f"{prefix:24}{one['standing']:10}{one['reason']:16}for {one['for-s']} s  "
+                   f"changes {one['changes']}  flaps {one['flaps']}{others}{word}")
+    for name, one in found["peers"].items():
+        up = f"up {one['up-s']} s" if one["up-s"] is not None else f"again in {one['again-ms']} ms  {one['last']}"
+        click.echo(f"peer {name:19}{one['state']:14}AS {one['as']}  told {one['told']}  heard {one['heard']}  {up}")
+
+
+def word_command(word: str, text: str) -> None:
+    @bgp.command(word, help=text)
+    @click.argument("prefix", required=False)
+    @ADMIN
+    def say(prefix: str | None, to) -> None:
+        held = ordered(to, "POST", f"/v1/bgp/{word}", prefix or "")["addresses"]
+        click.echo(f"{word}: {', '.join(held)}")
+
+
+for each_word, each_text in (
+        ("withdraw", "Withdraws PREFIX, or all, until told otherwise."),
+        ("announce", "Announces PREFIX, or all, at full preference whatever the signs say."),
+        ("last-resort", "Announces PREFIX, or all, at the worst preference."),
+        ("auto", "Takes an operator's word back: the signs decide again.")):
+    word_command(each_word, each_text)
+
+
 @main.group()
 def standin() -> None:
     """Stand-ins of our own for what stands around a gateway; each takes orders for faults on standard input."""
@@ -349,3 +404,25 @@
         click.echo(str(breach))
     click.echo(verdict.line)
     sys.exit(1 if verdict.breaches else 0)
+
+
+@standin.command()
+@LISTEN
+@RECORD
+@click.option("--as", "asn", type=int, default=65000)
+@click.option("--peer", "peers", multiple=True, required=True, help="NAME=ADDRESS=AS of a front end's speaker.")
+@click.option("--service", "services", multiple=True, required=True,
+              help="PREFIX=WHERE CLIENTS CONNECT=PORT OF FRONT ENDS.")
+@click.option("--converge", type=TIME, default="200ms")
+@click.option("--hold", type=int, default=9)
+def router(listen, record, asn, peers, services, converge, hold) -> None:
+    """A router that steers connections by what front ends announce."""
+    from threadshift.standins.common import Record
+    from threadshift.standins.router import Router
+    try:
+        spoken = [(name, host, int(number)) for name, host, number in (each.split("=") for each in peers)]
+        served = [(prefix, values.address(at), int(port))
+                  for prefix, at, port in (each.split("=") for each in services)]
+    except ValueError as problem:
+        raise SystemExit(f"threadshift: --peer or --service: {problem}") from None
+    attend(Router(asn, listen, spoken, served, converge, hold, Record(record)))
--- a/threadshift/conf/installation.py
+++ b/threadshift/conf/installation.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from threadshift.conf import values
+from threadshift.conf.announcing import Announcing, announcing
 from threadshift.conf.reading import Block, Directive, Mistake, Word, load, nearest, parse
 from threadshift.conf.values import Address
 from threadshift.interface import MS, SECOND, Deployment, Effect, NamespaceType, Tenant
@@ -66,6 +67,8 @@
     deployment: Deployment
     functions: tuple[FunctionClass, ...]
     bounds: Bounds
+    admin: Address | None = None         # where operators' orders are heard; one port up for each further front end
+    announcing: Announcing | None = None
 
     def front_end(self, index: int) -> str:
         """The name of one front end here."""
@@ -141,11 +144,12 @@
     "own-ports": Word(values.count, 0),
     "name": Word(values.name, "front"),
     "zone": Word(values.name, ""),
+    "admin": Word(values.address),
     "roster": Word(lambda kind, at: (kind, values.address(at) if kind == "feed" else at), wanted=True, words=2),
     "log": Word(lambda form, level: (values.one_of("json", "console")(form),
                                      values.one_of("debug", "info", "warning", "error")(level)),
                 ("json", "info"), words=2),
-}, nested=frozenset({"type", "functions", "tenant", "fleet", "bounds"}))
+}, nested=frozenset({"type", "functions", "tenant", "fleet", "bounds", "bgp"}))
 
 
 def read(path: str) -> Installation:
@@ -188,7 +192,19 @@
     return Installation(
         file, top["listen"], top["front-ends"], top["own-ports"], top["name"], top["roster"][0], top["roster"][1],
         top["log"][0], top["log"][1], deployment, classes,
-        Bounds(**{name.replace("-", "_"): value for name, value in bounds.items()}))
+        Bounds(**{name.replace("-", "_"): value for name, value in bounds.items()}), top["admin"],
+        announced_by(lines, known, top["front-ends"]))
+
+
+def announced_by(lines: Sequence[Directive], types: Sequence[str], front_ends: int) -> Announcing | None:
+    block = next((line for line in lines if line.name == "bgp"), None)
+    if block is None:
+        return None
+    block_of(lines, "bgp")
+    if front_ends > 1:
+        raise block.wrong("'bgp' needs 'front-ends 1': a route stands for one front end, or one sick of four would"
+                          " keep drawing its quarter")
+    return announcing(block, types)
 
 
 def under(found: dict, names: dict[str, str]) -> dict:
@@ -249,7 +265,8 @@
             (taken if word.reload else kept).append(f"bounds {name}")
     if old.functions != new.functions:
         taken.append("functions")
-    for field in ("listen", "front_ends", "own_ports", "name", "roster_kind", "roster_at", "log_form", "log_level"):
+    for field in ("listen", "front_ends", "own_ports", "admin", "announcing", "name", "roster_kind", "roster_at",
+                  "log_form", "log_level"):
         if getattr(old, field) != getattr(new, field):
             kept.append(field.replace("_", "-"))
     if old.deployment != new.deployment:
--- a/threadshift/gateway/front_end.py
+++ b/threadshift/gateway/front_end.py
@@ -7,6 +7,7 @@
 import os
 import random
 import time
+import traceback
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
@@ -21,11 +22,14 @@
 from threadshift.conf.reading import Mistake
 from threadshift.conf.values import Address
 from threadshift.desk.desk import Asked, Desk, Held
+from threadshift.gateway.admin import Admin
+from threadshift.gateway.hall import Hall
+from threadshift.gateway.recent import Arrivals, Recent
 from threadshift.interface import MS, SECOND, Outcome, State
 from threadshift.invoke.admission import PERIOD, Admission
 from threadshift.invoke.api import Invoke
 from threadshift.invoke.deferred import InMemory
-from threadshift.invoke.http import Connection
+from threadshift.invoke.http import Application, Connection, Watch
 from threadshift.links.codec import Frame
 from threadshift.links.link import Link
 from threadshift.links.sockets import listener
@@ -51,7 +55,8 @@
         bounds = told.bounds
         self.own = Address(told.listen[0].host, told.own_ports + index) if told.own_ports else None
         self.deferrals = InMemory(bounds.deferred, bounds.results, bounds.keep_results)
-        self.admission = Admission()
+        self.admission = Admission(min(each.target_latency for each in told.deployment.types))
+        self.watch = Watch()
         self.api = Invoke(told, self.name, f"http://{self.own}" if self.own else "", self.deferrals,
                           self.admission, log, self.status)
         self.desk = self.api.desk = Desk(Dispatcher(chance.getrandbits(63), told.deployment, now), self, self.api,
@@ -62,8 +67,13 @@
         self.connections = Group()
         self.greenlets = Group()
         self.ending = False
+        self.recent = Recent({each.name: each.utility for each in told.deployment.types})
+        self.api.recent = self.recent
+        self.arrivals = Arrivals()
+        self.hall = Hall(self) if told.announcing else None
         self.stalls, self.longest_stall, self.started = 0, 0, now
         self.roster_said = 0
+        self.roster_lost = False         # the feed is lost or the file unreadable: the last list stands
 
     # The desk's port to workers.
 
@@ -107,6 +117,7 @@
 
     def listed(self, entries: list[Entry], full: bool) -> None:
         now = self.roster_said = time.monotonic_ns()
+        self.roster_lost = False
         before = self.membership.empty_since
         listings = self.membership.listed(now, time.time_ns(), entries, full)
         if self.membership.empty_since is not None and before is None:
@@ -130,6 +141,8 @@
             self.desk.roster(time.monotonic_ns(), listings, full=False)
 
     def note(self, event: str, **fields: Any) -> None:
+        if event in ("roster-lost", "roster-unreadable"):
+            self.roster_lost = True
         self.log.note(event, **fields)
 
     # Running.
@@ -145,6 +158,12 @@
             self.greenlets.spawn(Feed(self.told.roster_at, self.name, self.told.bounds, self, self.chance).run)
         else:
             self.greenlets.spawn(WatchedFile(str(self.told.roster_at), self).run)
+        if self.told.admin is not None:
+            at = self.told.admin
+            sock = listener(at if at.path else Address(at.host, at.port + self.index), shared=False)
+            self.greenlets.spawn(self.accept_admin, sock, Admin(self))
+        if self.hall is not None:
+            self.hall.start()
         self.note("started", listen=[str(each) for each in self.told.listen], pid=os.getpid())
         self.keep_time(lambda: self.ending)
         self.drain()
@@ -163,6 +182,7 @@
                 self.note("accept-failed", level="warning", problem=str(problem))
                 gevent.sleep(ACCEPT_PAUSE / SECOND)
                 continue
+            self.arrivals.note(time.monotonic_ns())
             if len(self.connections) >= self.told.bounds.connections:
                 with suppress(OSError):
                     client.settimeout(0)
@@ -173,12 +193,21 @@
                 client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.connections.spawn(self.converse, client)
 
-    def converse(self, client: socket.socket) -> None:
+    def accept_admin(self, sock: socket.socket, admin: Admin) -> None:
+        """Operators' connections: few, so one at a time a greenlet, bounded like clients'."""
+        while True:
+            client, _ = sock.accept()
+            if len(self.connections) < self.told.bounds.connections:
+                self.connections.spawn(self.converse, client, admin)
+
+    def converse(self, client: socket.socket, application: Application | None = None) -> None:
         """One client's connection. What fails in it is a fault of ours, logged, and ends it alone."""
         try:
-            Connection(client, self.api, self.told.bounds).serve()
+            Connection(client, application or self.api, self.told.bounds, self.watch).serve()
         except Exception as fault:
-            self.note("fault", level="error", problem=repr(fault))
+            cause = fault.__context__ or fault      # a parser wraps what its callbacks raise
+            place = traceback.extract_tb(cause.__traceback__)[-1]
+            self.note("fault", level="error", problem=repr(cause), at=f"{place.filename}:{place.lineno}")
 
     def keep_time(self, over: Callable[[], bool]) -> None:
         """The one timer: every tick, what is due; how late it comes tells how busy or stalled the process is.
@@ -197,11 +226,14 @@
                 self.note("stalled", level="warning", late_ms=late // MS, owed=self.desk.owed)
             if now - measured >= PERIOD:
                 measured = now
-                self.admission.measured(late)
+                self.admission.measured(now, late)
+            self.watch.tick(now)
             if self.desk.due() <= now:
                 self.desk.tick(now)
             self.told_of(self.membership.tick(now))
             self.api.tick(now)
+            if self.hall is not None:
+                self.hall.tick(now)
             if now - looked >= SECOND:
                 looked = now
                 self.let_go_of_workers()
@@ -215,13 +247,19 @@
 
     def drain(self) -> None:
         """No new calls; what is held gets its answers; then the end, within the stated time."""
-        self.api.closing = True
         self.note("draining", owed=self.desk.owed, connections=len(self.connections))
+        if self.hall is not None:
+            # Routes first: what still arrives by them is answered until routers have converged.
+            self.hall.leave(time.monotonic_ns())
+            self.keep_time(self.hall.left)
+        self.api.closing = True
         for sock in self.listeners:
             sock.close()
         until = time.monotonic_ns() + self.told.bounds.drain
         self.keep_time(lambda: not self.desk.owed or time.monotonic_ns() >= until)
         gevent.sleep(2 * self.told.deployment.tick / SECOND)     # the last answers leave their connections
+        if self.hall is not None:
+            self.hall.speaker.stop("drained")
         for link in self.links.values():
             link.stop()
         self.connections.kill()
@@ -236,7 +274,8 @@
             self.note("reload-refused", level="error", problem=str(problem))
             return
         taken, kept = installation.changed(self.told, new)
-        self.told = self.api.told = installation.reloaded(self.told, new)
+        self.told = installation.reloaded(self.told, new)
+        self.api.reload(self.told)
         bounds = self.told.bounds
         self.deferrals.most_pending, self.deferrals.most, self.deferrals.keep = (
             bounds.deferred, bounds.results, bounds.keep_results)
@@ -255,6 +294,7 @@
             "longest-stall-ms": self.longest_stall // MS,
             "deferred": {"pending": self.deferrals.pending, "bytes": self.deferrals.size,
                          "dropped": self.deferrals.dropped},
+            "announcements": self.hall.status(now) if self.hall is not None else None,
             "roster": {"kind": self.told.roster_kind,
                        "age-s": round((now - self.roster_said) / SECOND, 3) if self.roster_said else None},
             "workers": {name: {
--- a/threadshift/gateway/recent.py
+++ b/threadshift/gateway/recent.py
@@ -8,9 +8,26 @@
 from threadshift.interface import SECOND, Outcome
 
 BUCKETS = 10               # seconds looked back on; shorter and few calls judge, longer and a fall is seen late
+MOST_ARRIVALS = 1_000      # times kept; a rate above a thousand a second is told as a thousand
 NEVER_CAME = (Outcome.UNREACHABLE, Outcome.MOOT)
 
 
+class Arrivals:
+    """New connections at the listeners."""
+
+    def __init__(self) -> None:
+        self.times: deque[int] = deque(maxlen=MOST_ARRIVALS)
+        self.last = 0
+
+    def note(self, now: int) -> None:
+        self.times.append(now)
+        self.last = now
+
+    def per_second(self, now: int) -> float:
+        """Over the last second."""
+        return float(sum(at > now - SECOND for at in self.times))
+
+
 class Recent:
     """Counts final answers as they are given."""
 
--- a/threadshift/invoke/api.py
+++ b/threadshift/invoke/api.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 from itertools import count
-from typing import Any
+from typing import Any, Protocol
 
 from threadshift.conf.installation import Installation
 from threadshift.desk.desk import Answer, Call, Desk, Final, Held
@@ -13,13 +13,28 @@
 from threadshift.invoke import requests
 from threadshift.invoke.admission import Admission
 from threadshift.invoke.deferred import Deferral, Deferrals
-from threadshift.invoke.http import Exchange
+from threadshift.invoke.http import Exchange, whole
 from threadshift.invoke.requests import CALLS, DEFERRED, Problem, Response
 from threadshift.log import Log
 
 BUSY_PAUSE = SECOND        # ns; when to come back after a refusal at the door: a second sheds a burst
 
 
+def busy(status: int, kind: str, detail: str) -> Problem:
+    """Not taken: a rejection at the door, which promises that nothing ran."""
+    return Problem(status, kind, detail, headers=[("Final", Final.REJECTED.value), *requests.retry_after(BUSY_PAUSE)])
+
+
+OVERLOADED = requests.problem(busy(503, "overloaded", "this front end is at its limit"))
+OVERLOADED.ready = whole(OVERLOADED)
+
+
+class Counts(Protocol):
+    """Who counts activations as they end."""
+
+    def note(self, now: int, held: Held) -> None: ...
+
+
 class Invoke:
     """Answers exchanges; the desk's port to clients."""
 
@@ -27,13 +42,19 @@
                  log: Log, status: Callable[[], dict[str, Any]]):
         self.told, self.base, self.deferrals, self.admission = told, base, deferrals, admission
         self.log, self.status = log, status
+        self.functions = requests.Functions(told)
         self.closing = False
         self.desk: Desk
+        self.recent: Counts
         boot = f"{time.time_ns() // MS:x}"
         serial = count(1).__next__
         self.number = lambda: f"{name}-{boot}-{serial()}"
         self.name = name
 
+    def reload(self, told: Installation) -> None:
+        """Another configuration, for calls from now on."""
+        self.told, self.functions = told, requests.Functions(told)
+
     # Exchanges.
 
     def handle(self, exchange: Exchange) -> None:
@@ -63,20 +84,22 @@
             raise Problem(405, "wrong-method", f"{method} is answered here", headers=[("Allow", method)])
 
     def take(self, exchange: Exchange, path: str) -> None:
-        call = requests.call_of(path, exchange.headers, exchange.body, self.told)
+        # First, as what is refused must cost as little as can be: at the limit all else is work for nothing.
+        if not self.admission.admit(exchange.headers.get("repetition") == "?1"):
+            exchange.respond(OVERLOADED)
+            return
+        call = requests.call_of(path, exchange.headers, exchange.body, self.functions)
         wish = requests.prefer(exchange.headers.get("prefer", ""))
         if self.closing:
-            raise self.busy(503, "closing", "this front end is going down")
+            raise busy(503, "closing", "this front end is going down")
         if self.desk.owed >= self.told.bounds.activations:
-            raise self.busy(503, "too-many-activations", f"{self.desk.owed} are under way here")
-        if not self.admission.admit(call.again):
-            raise self.busy(503, "overloaded", "this front end is at its limit")
+            raise busy(503, "too-many-activations", f"{self.desk.owed} are under way here")
         if not wish.deferred:
             exchange.held = True        # taken may be answered before take() returns
             exchange.held = self.desk.take(time.monotonic_ns(), self.number(), call, exchange)
             return
         if not self.deferrals.room():
-            raise self.busy(429, "too-many-deferred", "the waiting list is full")
+            raise busy(429, "too-many-deferred", "the waiting list is full")
         self.take_deferred(exchange, call)
 
     def take_deferred(self, exchange: Exchange, call: Call) -> None:
@@ -85,12 +108,6 @@
         exchange.respond(requests.accepted(ivk, self.base))
         self.desk.take(time.monotonic_ns(), ivk, call, it)
 
-    @staticmethod
-    def busy(status: int, kind: str, detail: str) -> Problem:
-        """Not taken: a rejection at the door, which promises that nothing ran."""
-        return Problem(status, kind, detail, headers=[("Final", Final.REJECTED.value),
-                                                      *requests.retry_after(BUSY_PAUSE)])
-
     def collect(self, exchange: Exchange, ivk: str) -> None:
         it = self.deferrals.find(ivk)
         if it is None:
@@ -121,6 +138,7 @@
     def answered(self, held: Held) -> None:
         answer = held.answer
         assert answer is not None
+        self.recent.note(held.answered_at, held)
         if isinstance(held.client, Deferral):
             for exchange in self.deferrals.finish(held.answered_at, held.client, answer):
                 exchange.respond(requests.final(answer, held.ivk))
@@ -130,6 +148,7 @@
 
     def over(self, held: Held) -> None:
         if held.gone:
+            self.recent.note(self.desk.now, held)
             self.tell(held, Answer(Final.ABORTED, "client-left"))
 
     def tell(self, held: Held, answer: Answer) -> None:
--- a/threadshift/invoke/http.py
+++ b/threadshift/invoke/http.py
@@ -17,15 +17,26 @@
 from gevent.event import Event
 
 from threadshift.conf.installation import Bounds
-from threadshift.interface import SECOND
-from threadshift.invoke.requests import Headers, Problem, Response, problem
+from threadshift.interface import MS, SECOND
+from threadshift.invoke.requests import Problem, Response, problem
 
 READ = 64 << 10            # bytes a read
+NEVER = 1 << 62            # ns; no limit
+LOOK = 100 * MS            # between two looks at all limits; they are of seconds
 LINGER = SECOND            # ns; after a refusal the client's bytes are read so long, or it would not see why
 REASONS = {status.value: status.phrase for status in HTTPStatus}
 SINGLE = frozenset({"time-left", "tenant", "idempotency-key", "repetition", "work-hint", "host"})
 
 
+def whole(response: Response, keep: bool = True, with_body: bool = True) -> bytes:
+    """A response as it goes out."""
+    head = [f"HTTP/1.1 {response.status} {REASONS.get(response.status, '')}",
+            *(f"{name}: {value}" for name, value in response.headers), f"Content-Length: {len(response.body)}"]
+    if not keep:
+        head.append("Connection: close")
+    return "\r\n".join([*head, "", ""]).encode("latin-1") + (response.body if with_body else b"")
+
+
 class Exchange:
     """One request and its answer. `held` is the activation taken for it, if any."""
 
@@ -45,6 +56,21 @@
             self.connection.answered(self)
 
 
+class Watch:
+    """The time limits of all connections, looked at together: a timer for each read costs more than the read."""
+
+    def __init__(self) -> None:
+        self.open: set[Connection] = set()
+        self.due = 0
+
+    def tick(self, now: int) -> None:
+        if now < self.due:
+            return
+        self.due = now + LOOK
+        for each in [each for each in self.open if each.limit <= now or each.write_limit <= now]:
+            each.expire(now)
+
+
 class Application(Protocol):
     """Who answers exchanges, and when."""
 
@@ -57,8 +83,11 @@
 class Connection:
     """One client connection."""
 
-    def __init__(self, sock: socket.socket, application: Application, bounds: Bounds):
-        self.sock, self.application, self.bounds = sock, application, bounds
+    def __init__(self, sock: socket.socket, application: Application, bounds: Bounds, watch: Watch):
+        self.sock, self.application, self.bounds, self.watch = sock, application, bounds, watch
+        self.limit = time.monotonic_ns() + bounds.idle      # something must have come by then ...
+        self.write_limit = NEVER                            # ... and what is being written must be taken
+        self.expired = self.writing = False
         self.line: deque[Exchange] = deque()    # answers owed, in order
         self.wake = Event()
         self.ended = self.last = False          # nothing more is read; nothing more is answered
@@ -125,6 +154,7 @@
     def serve(self) -> None:
         """Reads until the end. Returns with the connection closed and no greenlet left."""
         writer = gevent.spawn(self.write)
+        self.watch.open.add(self)
         try:
             complaint = self.read()
             if complaint is not None:
@@ -135,6 +165,7 @@
                 self.linger()
         finally:
             self.ended = True
+            self.watch.open.discard(self)
             for exchange in [each for each in self.line if each.response is None]:
                 self.application.gone(exchange)
             writer.kill()
@@ -142,23 +173,17 @@
 
     def read(self) -> Problem | None:
         while not self.last:
-            limit = self.began + self.bounds.request - time.monotonic_ns() if self.began else self.bounds.idle
-            if limit <= 0:
-                return Problem(408, "request-too-slow", "the request did not end in time")
-            self.sock.settimeout(limit / SECOND)
             try:
                 data = self.sock.recv(READ)
-            except TimeoutError:
-                if self.began:
-                    return Problem(408, "request-too-slow", "the request did not end in time")
-                if self.line:
-                    continue        # it waits for our answer, which has a limit of its own
-                return None
             except OSError:
+                data = b""
+            if self.expired and self.began:
+                return Problem(408, "request-too-slow", "the request did not end in time")
+            if not data or self.expired:
                 return None
-            if not data:
-                return None
-            self.began = self.began or time.monotonic_ns()
+            now = time.monotonic_ns()
+            if not self.began:
+                self.began, self.limit = now, now + self.bounds.request
             try:
                 self.parser.feed_data(data)
             except httptools.HttpParserCallbackError as failed:
@@ -167,44 +192,69 @@
                 raise
             except httptools.HttpParserError as failed:
                 return Problem(400, "bad-request", f"not HTTP/1.1: {str(failed)[:120]}")
+            if not self.began:
+                self.limit = now + self.bounds.idle
+            try:
+                self.flush()        # what was refused at once needs no other greenlet
+            except OSError:
+                return None
         return None
 
+    def expire(self, now: int) -> None:
+        """A limit has passed. A client that waits for our answer has none but the answer's own."""
+        if self.write_limit <= now:
+            self.write_limit, how = NEVER, socket.SHUT_RDWR
+        elif self.line and not self.began:
+            self.limit = now + self.bounds.idle
+            return
+        else:
+            self.limit, how, self.expired = NEVER, socket.SHUT_RD, True
+        with suppress(OSError):
+            self.sock.shutdown(how)         # the reader wakes and sees why
+
     def write(self) -> None:
         """Writes answers in order as they are ready; a client that takes none in time is cut off."""
         try:
-            while True:
-                while self.line and self.line[0].response is not None:
-                    parts, keep = [], True
-                    while keep and self.line and self.line[0].response is not None:
-                        exchange = self.line.popleft()
-                        keep = exchange.keep_alive
-                        parts.append(self.bytes_of(exchange, keep))
-                    self.sock.settimeout(self.bounds.write / SECOND)
-                    self.sock.sendall(b"".join(parts))
-                    if not keep:
-                        self.last = True
-                        if not self.ended:
-                            self.sock.shutdown(socket.SHUT_WR)
-                        return
+            while not self.last:
+                self.flush()
                 self.wake.clear()
-                if not self.line or self.line[0].response is None:
+                if not self.last and (self.writing or not self.line or self.line[0].response is None):
                     self.wake.wait()
         except OSError:
             self.last = True
             with suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)
 
+    def flush(self) -> None:
+        """Writes the answers that are ready, in order; one greenlet at a time. Raises OSError."""
+        if self.writing:
+            return
+        self.writing = True
+        try:
+            while not self.last and self.line and self.line[0].response is not None:
+                parts, keep = [], True
+                while keep and self.line and self.line[0].response is not None:
+                    exchange = self.line.popleft()
+                    keep = exchange.keep_alive
+                    parts.append(self.bytes_of(exchange, keep))
+                self.write_limit = time.monotonic_ns() + self.bounds.write
+                self.sock.sendall(b"".join(parts) if len(parts) > 1 else parts[0])
+                self.write_limit = NEVER
+                if not keep:
+                    self.last = True
+                    if not self.ended:
+                        self.sock.shutdown(socket.SHUT_WR)
+        finally:
+            self.writing = False
+            self.wake.set()
+
     @staticmethod
     def bytes_of(exchange: Exchange, keep: bool) -> bytes:
         response = exchange.response
         assert response is not None
-        headers: Headers = [*response.headers, ("Content-Length", str(len(response.body)))]
-        if not keep:
-            headers.append(("Connection", "close"))
-        head = [f"HTTP/1.1 {response.status} {REASONS.get(response.status, '')}"]
-        head += [f"{name}: {value}" for name, value in headers]
-        return "\r\n".join([*head, "", ""]).encode("latin-1") + (
-            b"" if exchange.method == "HEAD" else response.body)
+        if keep and response.ready:
+            return response.ready
+        return whole(response, keep, exchange.method != "HEAD")
 
     def answered(self, exchange: Exchange) -> None:
         """An exchange has its answer; it goes out once it is first in line."""
--- a/threadshift/invoke/requests.py
+++ b/threadshift/invoke/requests.py
@@ -10,7 +10,6 @@
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from functools import lru_cache
 from urllib.parse import unquote
 
 from threadshift.conf.installation import FunctionClass, Installation
@@ -21,7 +20,7 @@
 MARK = re.compile(r"[\x21-\x7e]{1,128}")       # of an idempotency key, quoted or not
 CALLS = re.compile(r"/v1/functions/([^/?]+)/calls")
 DEFERRED = re.compile(r"/v1/calls/([A-Za-z0-9._:-]{1,128})")
-MOST_NAMES = 10_000        # functions whose look-up is remembered; patterns are matched one by one
+MOST_NAMES = 10_000        # functions whose look-up is remembered at once
 PROBLEM_TYPES = "urn:threadshift:problem:"      # a URN needs no page behind it (RFC 9457, section 3.1.1)
 
 Headers = list[tuple[str, str]]
@@ -43,6 +42,7 @@
     status: int
     headers: Headers
     body: bytes = b""
+    ready: bytes = b""           # the whole of it as bytes, where it is the same for everybody
 
 
 @dataclass(slots=True)
@@ -77,11 +77,12 @@
     return int(text) * MS
 
 
-def call_of(path: str, headers: Mapping[str, str], body: bytes, told: Installation) -> Call:
+def call_of(path: str, headers: Mapping[str, str], body: bytes, functions: Functions) -> Call:
     """A POST to a function as the call it asks for. Raises Problem."""
     match = CALLS.fullmatch(path)
     name = unquote(match[1]) if match else ""
-    known, type_ = function_of(name, told)
+    known, type_ = functions.find(name)
+    tenants = functions.told.deployment.tenants
     left = whole_ms(headers, "Time-Left")
     if left == 0:
         raise Problem(400, "bad-request", "Time-Left is used up", "Time-Left")
@@ -91,7 +92,7 @@
     if type_.effect is Effect.DEDUPLICATED and not mark:
         raise Problem(400, "bad-request", f"calls of type {type_.name} need one", "Idempotency-Key")
     tenant = headers.get("tenant", "")
-    if tenant and told.deployment.tenants and tenant not in (each.name for each in told.deployment.tenants):
+    if tenant and tenants and tenant not in (each.name for each in tenants):
         raise Problem(403, "no-such-tenant", f"no tenant {tenant[:64]!r} here", "Tenant")
     again = headers.get("repetition", "?0")
     if again not in ("?0", "?1"):
@@ -100,14 +101,28 @@
                 whole_ms(headers, "Work-Hint") or 0, known.lanes, known.load_time, again == "?1")
 
 
-@lru_cache(MOST_NAMES)
-def function_of(name: str, told: Installation) -> tuple[FunctionClass, NamespaceType]:
-    if not FUNCTION.fullmatch(name):
-        raise Problem(400, "bad-request", "a function's name has letters, digits and . _ : @ -, 128 at most", "name")
-    found = told.function(name)
-    if found is None:
-        raise Problem(404, "no-such-function", f"no 'functions' block matches {name}", "name")
-    return found
+class Functions:
+    """What the configuration says of each function, remembered by name: patterns are matched one by one."""
+
+    def __init__(self, told: Installation):
+        self.told = told
+        self.known: dict[str, tuple[FunctionClass, NamespaceType]] = {}
+
+    def find(self, name: str) -> tuple[FunctionClass, NamespaceType]:
+        """Raises Problem."""
+        found = self.known.get(name)
+        if found is not None:
+            return found
+        if not FUNCTION.fullmatch(name):
+            raise Problem(400, "bad-request", "a function's name has letters, digits and . _ : @ -, 128 at most",
+                          "name")
+        found = self.told.function(name)
+        if found is None:
+            raise Problem(404, "no-such-function", f"no 'functions' block matches {name}", "name")
+        if len(self.known) >= MOST_NAMES:
+            self.known.clear()
+        self.known[name] = found
+        return found
 
 
 def problem(it: Problem) -> Response:
--- a/threadshift/standins/common.py
+++ b/threadshift/standins/common.py
@@ -135,6 +135,13 @@
             writer.kill()
             sock.close()
 
+    def later(self, delay: float, act: Callable[..., None], *words: Any) -> None:
+        """Does something after so many seconds, unless the stand-in is stopped before."""
+        def wait() -> None:
+            gevent.sleep(delay)
+            act(*words)
+        self.group.spawn(wait)
+
     def hear(self, peer: Peer, frame: Frame) -> None:
         raise NotImplementedError
 
