--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -12,7 +12,7 @@
 
 import gevent
 from gevent import socket
-from gevent.queue import Queue
+from gevent.queue import LifoQueue
 from hdrh.histogram import HdrHistogram
 
 LENGTH = re.compile(rb"Content-Length: (\d+)\r\n")
@@ -44,7 +44,7 @@
 def main():
     port, seconds, connections, rate, left = (float(each) for each in sys.argv[1:6])
     chance, seen, times = random.Random(int(port)), Counter(), HdrHistogram(1, 60_000_000, 3)
-    late, out, queue = Counter(), Counter(), Queue(100_000)
+    late, out, queue = Counter(), Counter(), LifoQueue(100_000)
     gc.disable()            # what is measured is the other side; this process is short-lived
     counted = time.monotonic() + WARM_UP
     until = counted + seconds
@@ -65,6 +65,9 @@
             began = queue.get() if rate else time.monotonic()
             if began is None:
                 return
+            if rate and (time.monotonic() - began) * 1000 > left:
+                out["gave up"] += 1     # a client that found no free connection; the newest goes first
+                continue
             sock.sendall(chance.choice(requests))
             note(answer(sock), began)
 
@@ -76,6 +79,8 @@
             if queue.qsize() < 90_000:
                 queue.put(due)      # waiting for a free connection counts: the loop is open
             due += chance.expovariate(rate)
+        while not queue.empty():
+            queue.get()
         for _ in talkers:
             queue.put(None)
     gevent.joinall(talkers, timeout=5)
--- a/threadshift/invoke/api.py
+++ b/threadshift/invoke/api.py
@@ -86,6 +86,7 @@
     def take(self, exchange: Exchange, path: str) -> None:
         # First, as what is refused must cost as little as can be: at the limit all else is work for nothing.
         if not self.admission.admit(exchange.headers.get("repetition") == "?1"):
+            exchange.connection.pause = self.admission.pause
             exchange.respond(OVERLOADED)
             return
         call = requests.call_of(path, exchange.headers, exchange.body, self.functions)
--- a/threadshift/invoke/http.py
+++ b/threadshift/invoke/http.py
@@ -88,6 +88,7 @@
         self.limit = time.monotonic_ns() + bounds.idle      # something must have come by then ...
         self.write_limit = NEVER                            # ... and what is being written must be taken
         self.expired = self.writing = False
+        self.pause = 0                          # ns for which nothing is read, asked for by the application
         self.line: deque[Exchange] = deque()    # answers owed, in order
         self.wake = Event()
         self.ended = self.last = False          # nothing more is read; nothing more is answered
@@ -198,6 +199,10 @@
                 self.flush()        # what was refused at once needs no other greenlet
             except OSError:
                 return None
+            if self.pause:
+                # Told to come back later, it is not heard before: reading and refusing costs half of serving.
+                gevent.sleep(self.pause / SECOND)
+                self.pause = 0
         return None
 
     def expire(self, now: int) -> None:
