--- /dev/null
+++ b/tests/test_days.py
@@ -0,0 +1,130 @@
+import unittest
+from pathlib import Path
+
+from threadshift.conf.reading import Mistake
+from threadshift.days.day import KINDS, Day, read, read_text
+from threadshift.days.orders import Order, names, orders
+from threadshift.days.play import with_front_ends
+from threadshift.days.traffic import tries
+from threadshift.interface import MS, SECOND
+
+DAY = """
+length 20s
+front-ends 3
+fleet-of 6 {
+    zones a b c
+}
+type check {
+    target-latency 600ms
+    action-timeout 2s
+    effect repeatable
+}
+functions * {
+    type check
+}
+traffic check {
+    type check
+    rate 100
+    functions 30
+}
+"""
+CONDUCTED = ("!kill", "!renew", "!stop", "!go-on", "!drain")
+
+
+def day(*troubles, seed=1, **changes) -> Day:
+    text = DAY + "".join(f"trouble {trouble}\n" for trouble in troubles)
+    for old, new in changes.items():
+        text = text.replace(old, new)
+    return read_text(text, "a.day", seed)
+
+
+class Reading(unittest.TestCase):
+    def test_mistakes_name_their_line(self):
+        cases = (("trouble", "a.day:20:", "no kind of trouble"),
+                 ("trouble crahs", "a.day:20:", "nearest known is 'crash'"),
+                 ("trouble crash at", "a.day:20:", "pairs"), ("trouble crash at soon", "a.day:20:", "a time such as"),
+                 ("trouble crash times 3", "a.day:20:", "takes no 'times'"),
+                 ("trouble zone_cut zone nowhere", "a.day:20:", "no such zone"),
+                 ("trouble front_kill front 3", "a.day:20:", "no such zone or front end"),
+                 ("troble crash", "a.day:20:", "nearest known is 'trouble'"),
+                 ("traffic more {\n type nothing\n rate 1\n}", "a.day:20:", "no type 'nothing'"))
+        for line, place, words in cases:
+            with self.assertRaises(Mistake) as caught:
+                read_text(DAY + line + "\n", "a.day")
+            self.assertTrue(str(caught.exception).startswith(place), str(caught.exception))
+            self.assertIn(words, str(caught.exception))
+
+    def test_the_days_that_come_along_are_good(self):
+        for path in sorted((Path(__file__).parent.parent / "threadshift/days").glob("*.day")):
+            it = read(str(path))
+            self.assertTrue(it.traffic and it.troubles, path)
+
+    def test_what_a_trouble_does_not_tell_is_drawn_from_the_seed(self):
+        first, again, other = (day("crash", "zone_cut", seed=seed).troubles for seed in (1, 1, 2))
+        self.assertEqual(first, again)
+        self.assertNotEqual(first, other)
+        for trouble in (*first, *other):
+            self.assertTrue(0 < trouble.at < trouble.at + trouble.length <= 20 * SECOND)
+
+    def test_front_ends_are_told_how_many_they_are(self):
+        self.assertIn("fleet {\nfront-ends-in-all 3\n}", with_front_ends(day()))
+        self.assertIn("fleet {\nfront-ends-in-all 3\nidle-keep 1s", with_front_ends(
+            read_text(DAY + "fleet {\n idle-keep 1s\n}\n")))
+
+
+class Traffic(unittest.TestCase):
+    def test_the_same_seed_gives_the_same_tries_at_about_the_rate(self):
+        one, again, other = (list(tries(day(), seed)) for seed in (5, 5, 6))
+        self.assertEqual(one, again)
+        self.assertNotEqual(one, other)
+        self.assertTrue(1700 < len(one) < 2300, len(one))
+        self.assertEqual({each.front for each in one}, {0, 1, 2})
+
+    def test_what_clients_troubles_do(self):
+        plain = list(tries(day(), 5))
+        later = 10 * SECOND
+        # trouble, what is measured over the tries of its time, least and most against a day without
+        cases = (("burst at 10s for 5s times 3", len, 2.4, 3.6),
+                 ("heavy_tail at 10s for 5s share 50% times 10", lambda some: sum(one.work for one in some), 3, 8),
+                 ("give_up at 10s for 5s share 100% times 4", lambda some: sum(one.left for one in some), 0.2, 0.3),
+                 ("scan at 10s for 5s share 50%", lambda some: len({one.function for one in some}), 4, 40),
+                 ("hot_key at 10s for 5s share 60%",
+                  lambda some: 1 + sum("hot" in one.function for one in some), 100, 900),
+                 ("shift at 10s for 5s share 90% front 2", lambda some: sum(one.front == 2 for one in some), 2, 4))
+        for trouble, measure, least, most in cases:
+            there = [one for one in tries(day(trouble), 5) if later <= one.at < later + 5 * SECOND]
+            before = [one for one in plain if later <= one.at < later + 5 * SECOND]
+            ratio = measure(there) / measure(before)
+            self.assertTrue(least < ratio < most, (trouble, ratio))
+
+
+class Orders(unittest.TestCase):
+    def test_every_kind_of_trouble_can_be_ordered(self):
+        clients = {"burst", "hot_key", "heavy_tail", "scan", "give_up", "shift"}
+        for kind in KINDS:
+            it = day(f"{kind} at 4s for 6s")
+            found = orders(it, 1)
+            self.assertEqual(bool(found), kind not in clients, kind)
+            for order in found:
+                self.assertIn(order.who, [*names(it), "store", "roster", "workers", "front-0", "front-1", "front-2"])
+                self.assertTrue(not order.words.startswith("!") or order.words in CONDUCTED, order)
+                self.assertGreaterEqual(order.at, 4 * SECOND)
+            self.assertEqual(found, sorted(found, key=lambda order: order.at))
+
+    def test_what_is_killed_comes_back(self):
+        for trouble in ("crash at 2s for 3s workers 2", "zone_loss at 2s for 3s zone b",
+                        "deploy at 2s for 12s workers 1", "preempt at 2s for 6s workers 0.5", "front_kill at 2s for 1s front 1"):
+            found = orders(day(trouble), 3)
+            killed = [order.who for order in found if order.words == "!kill"]
+            self.assertTrue(killed, trouble)
+            for who in killed:
+                last = [order.words for order in found if order.who == who and order.words.startswith("!")][-1]
+                self.assertEqual(last, "!renew", trouble)
+
+    def test_orders_of_a_stall(self):
+        self.assertEqual(orders(day("balancer_stall at 1s for 500ms front 2"), 1),
+                         [Order(SECOND, "front-2", "!stop"), Order(1500 * MS, "front-2", "!go-on")])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/threadshift/cli.py
+++ b/threadshift/cli.py
@@ -327,8 +327,9 @@
         it = days.read(day, seed)
     except Mistake as problem:
         raise SystemExit(f"threadshift: {problem}") from None
-    if len(fronts) != it.front_ends:
-        raise SystemExit(f"threadshift: {day} has {it.front_ends} front ends, {len(fronts)} are named")
+    wanted = it.front_ends if it.router is None else 1
+    if len(fronts) != wanted:
+        raise SystemExit(f"threadshift: {day} wants {wanted} addresses to call, {len(fronts)} are named")
     Clients(it, seed, list(fronts), Record(record)).run(start or time.monotonic_ns())
 
 
@@ -415,7 +416,8 @@
               help="PREFIX=WHERE CLIENTS CONNECT=PORT OF FRONT ENDS.")
 @click.option("--converge", type=TIME, default="200ms")
 @click.option("--hold", type=int, default=9)
-def router(listen, record, asn, peers, services, converge, hold) -> None:
+@click.option("--steer", type=click.Choice(["routes", "alive", "static"]), default="routes")
+def router(listen, record, asn, peers, services, converge, hold, steer) -> None:
     """A router that steers connections by what front ends announce."""
     from threadshift.standins.common import Record
     from threadshift.standins.router import Router
@@ -425,4 +427,4 @@
                   for prefix, at, port in (each.split("=") for each in services)]
     except ValueError as problem:
         raise SystemExit(f"threadshift: --peer or --service: {problem}") from None
-    attend(Router(asn, listen, spoken, served, converge, hold, Record(record)))
+    attend(Router(asn, listen, spoken, served, converge, hold, Record(record), steer))
--- a/threadshift/days/day.py
+++ b/threadshift/days/day.py
@@ -14,6 +14,7 @@
 from typing import Any, NamedTuple
 
 from threadshift.conf import installation, values
+from threadshift.conf.announcing import hold_time
 from threadshift.conf.installation import Installation, block_of, named, one
 from threadshift.conf.reading import Block, Directive, Mistake, Word, load, nearest, parse
 from threadshift.interface import MS, SECOND
@@ -40,6 +41,14 @@
     pack: int            # bytes of memory of a mean pack
 
 
+class RouterOf(NamedTuple):
+    """The router before the front ends, where clients do not choose among them themselves."""
+
+    converge: int        # ns from a change of routes to its effect
+    hold: int            # s
+    steer: str           # by routes; or, as baselines: alive, every front end whose session stands; static, all
+
+
 class Traffic(NamedTuple):
     """One kind of calls."""
 
@@ -78,6 +87,7 @@
     store: Store
     traffic: tuple[Traffic, ...]
     troubles: tuple[Trouble, ...]
+    router: RouterOf | None
     gateway: str             # text of the blocks that are a gateway's own
     told: Installation
 
@@ -89,7 +99,7 @@
     "preempt": frozenset({"workers"}), "report_late": frozenset({"times"}), "zone_cut": frozenset({"zone"}),
     "zone_loss": frozenset({"zone"}), "hot_key": frozenset({"share"}), "heavy_tail": frozenset({"share", "times"}),
     "scan": frozenset({"share"}), "give_up": frozenset({"share", "times"}), "shift": frozenset({"share", "front"}),
-    "balancer_stall": frozenset({"front"}), "front_kill": frozenset({"front"}),
+    "balancer_stall": frozenset({"front"}), "front_kill": frozenset({"front"}), "front_drain": frozenset({"front"}),
     "store_refuse": frozenset({"share"}), "store_slow": frozenset({"times"}), "store_corrupt": frozenset(),
     "stall": frozenset({"workers"}), "break_after_run": frozenset({"workers"}),
     "break_mid_frame": frozenset({"workers"}), "drain": frozenset({"workers"}),
@@ -101,6 +111,8 @@
 })
 STORE = Block({"capacity": Word(values.number, 8.0), "load-time": Word(values.duration, 400 * MS),
                "pack": Word(values.size, 100 << 20)})
+ROUTER = Block({"converge": Word(values.duration, 200 * MS), "hold": Word(hold_time, 3),
+                "steer": Word(values.one_of("routes", "alive", "static"), "routes")})
 TRAFFIC = Block({
     "type": Word(values.name, wanted=True), "functions": Word(values.count, 40), "zipf": Word(values.number, 1.0),
     "rate": Word(values.number, wanted=True), "work": Word(values.duration, 50 * MS),
@@ -125,7 +137,7 @@
 
 def understand(lines: list[Directive], file: str, seed: int) -> Day:
     """A whole day file. Troubles without a time get one drawn from the seed. Raises Mistake."""
-    own = ("length", "front-ends", "fleet-of", "store", "traffic", "trouble")
+    own = ("length", "front-ends", "fleet-of", "store", "router", "traffic", "trouble")
     for line in lines:
         if line.name not in (*own, *GATEWAY):
             raise line.wrong(f"unknown directive '{line.name}'{nearest(line.name, [*own, *GATEWAY])}")
@@ -147,7 +159,9 @@
     chance = random.Random(f"troubles {seed}").random
     troubles = tuple(trouble_of(line, plain["length"], fleet, plain["front-ends"], chance)
                      for line in lines if line.name == "trouble")
-    return Day(file, plain["length"], plain["front-ends"], fleet, store, traffic, troubles, gateway, told)
+    router = RouterOf(**ROUTER.read(block_of(lines, "router"), None, file)) if any(
+        line.name == "router" for line in lines) else None
+    return Day(file, plain["length"], plain["front-ends"], fleet, store, traffic, troubles, router, gateway, told)
 
 
 def under(found: dict[str, Any]) -> dict[str, Any]:
--- a/threadshift/days/orders.py
+++ b/threadshift/days/orders.py
@@ -78,6 +78,9 @@
                 Order(it.at + min(it.length, 2 * SECOND), f"front-{it.front}", "!go-on")]
     if it.kind == "front_kill":
         return [Order(it.at, f"front-{it.front}", "!kill"), Order(it.at + it.length, f"front-{it.front}", "!renew")]
+    if it.kind == "front_drain":
+        return [Order(it.at, f"front-{it.front}", "!drain"),
+                Order(it.at + it.length, f"front-{it.front}", "!renew")]
     return []       # a trouble of clients: traffic.py
 
 
--- a/threadshift/standins/clients.py
+++ b/threadshift/standins/clients.py
@@ -17,6 +17,7 @@
 OVERTIME = SECOND          # ns that a client waits past its time left, to see whether an answer still comes
 MOST = 5000                # tries under way; past it the machine, not the gateway, is what is measured
 BEAT = 0.02                # s; how often our own standstill is looked for
+ANY = -1                   # a front end that the router chose
 LONG_WAIT = 10             # s asked for at a time
 
 
@@ -60,11 +61,14 @@
     def once(self, it: Try, mark: str, number: int) -> bool:
         """Whether trying again is harmless, and wanted."""
         effect = it.type.effect
-        self.record.note("try", mark=mark, first=it.mark, front=it.front, type=it.type.name, effect=effect.value,
+        routed = self.day.router is not None     # then a try has a connection of its own, steered by the router
+        front = 0 if routed else it.front
+        self.record.note("try", mark=mark, first=it.mark, front=ANY if routed else front,
+                         type=it.type.name, effect=effect.value,
                          left_ms=it.left // MS, deferred=it.deferred, work_ms=it.work / MS, tenant=it.tenant,
                          quits=bool(it.quits_after))
         start = time.monotonic_ns()
-        client = self.idle[it.front].pop() if self.idle[it.front] else Client(self.fronts[it.front])
+        client = self.idle[front].pop() if self.idle[front] else Client(self.fronts[front])
         limit = it.quits_after or it.left + OVERTIME
         try:
             with gevent.Timeout(limit / SECOND):
@@ -76,10 +80,14 @@
         except NoAnswer as problem:
             self.record.note("broke", mark=mark, problem=str(problem))
             return effect is Effect.REPEATABLE or "refused" in str(problem)
-        self.idle[it.front].append(client)
+        if routed:
+            client.close()
+        else:
+            self.idle[front].append(client)
         final = reply.headers.get("final", "not-taken")
         ran = reply.status != 200 and b'"may-have-run": true' in reply.body
-        self.record.note("answer", mark=mark, final=final, status=reply.status, may_have_run=ran)
+        self.record.note("answer", mark=mark, final=final, status=reply.status, may_have_run=ran,
+                         served_by=reply.headers.get("activation", "").rsplit("-", 2)[0])
         return final == "rejected" or final == "aborted" and effect is Effect.REPEATABLE
 
     def call(self, client: Client, it: Try, mark: str, number: int, start: int) -> Reply:
