--- a/threadshift/emulator/worker.py
+++ b/threadshift/emulator/worker.py
@@ -133,7 +133,6 @@
                 self.clock.after(hung, self.start_ready)
                 return
             if job.cancelled or self.clock.now >= job.ends:
-                self.note("turned", mark=job.mark, kind="full")
                 self.done(job, Outcome.FULL, Copy.UNTOLD)
                 self.release(shelf, copy, job.function)
                 continue
@@ -158,6 +157,8 @@
     def done(self, job: Job, outcome: Outcome, copy: Copy) -> None:
         if self.jobs.pop(job, job) is not None or not self.alive:
             return
+        if outcome in (Outcome.FULL, Outcome.MISS):
+            self.note("turned", mark=job.mark, kind=outcome.value)
         broken = self.faults.once("break-after-run") or self.faults.once("break-mid-frame")
         job.reply(None if broken else outcome, copy, self.report)
 
@@ -192,7 +193,6 @@
         elif not shelf.copies and not shelf.loading:
             while shelf.queue:
                 job = shelf.queue.popleft()
-                self.note("turned", mark=job.mark, kind="miss")
                 self.done(job, Outcome.MISS, Copy.LOAD_FAILED)
         for wanted, answer in [each for each in shelf.holders if len(shelf.copies) >= each[0] or not shelf.loading]:
             shelf.holders.remove((wanted, answer))
