--- a/benchmarks/bgp.py
+++ b/benchmarks/bgp.py
@@ -273,6 +273,7 @@
             for steer in ("routes", "alive", "static"):
                 path = Path(folder) / f"{steer}.day"
                 path.write_text(text.replace("router {", f"router {{\n    steer {steer}"))
+                # One after another: the addresses of halls are fixed, and side by side they would disturb each other.
                 it = subprocess.run([sys.executable, "-m", "threadshift", "play", str(path), "--seed", str(seed)],
                                     capture_output=True, text=True, check=False)
                 last = it.stdout.strip().splitlines()[-1] if it.stdout.strip() else it.stderr
@@ -288,6 +289,7 @@
     words.add_argument("--trials", type=int, default=100)
     words.add_argument("--lanes", type=int, default=6)
     words.add_argument("--lane", type=int, default=None)
+    words.add_argument("--seeds", type=int, default=2)
     words.add_argument("--only", nargs="*", default=["causes", "codec", "flapping", "days"])
     words.add_argument("--out", default="docs/measurements")
     it = words.parse_args()
@@ -305,7 +307,7 @@
     if "flapping" in it.only:
         found["flapping"] = flapping(3, 3)
     if "days" in it.only:
-        found["days"] = days(2)
+        found["days"] = days(it.seeds)
     path.write_text(json.dumps(found, indent=1) + "\n")
 
 
--- /dev/null
+++ b/threadshift/trials/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on top of the emulator."""
