Tests: overload moves no route for 60 s, a peer back after an hour, Unix sockets and IPv6

Need: hard cases of announcements, and all three kinds of address, were not yet caused by a test. Change: three tests of the decision and the state machine on virtual time, one of live sockets. Result: no transition in 60 s of overload with others seen or not; 300 to 1500 dials in an hour of failing.

--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -191,6 +191,32 @@
             self.assertTrue(all(hall.held[NET].changes <= 6 for hall in halls))
 
 
+class Overloaded(unittest.TestCase):
+    """Load moves nothing: 60 s, whatever else is seen, with and without lag."""
+
+    def changes(self, signs, heard):
+        it = announcer(random.Random(1).random)
+        it.tick(0, Signs(asked_per_s=100, service={"a": GOOD}), heard)
+        for now in range(50 * MS, 60 * SECOND, 50 * MS):
+            it.tick(now, signs(now), heard)
+        return it.held[NET].changes, it.held[NET].verdict
+
+    def test_all_halls_overloaded_do_not_oscillate(self):
+        other = Path(ELSE, (65002,), large=((65002, 9000, int(FULL)),))
+        for heard in (None, lambda prefix: [], lambda prefix: [other]):
+            changes, verdict = self.changes(
+                lambda now: Signs(asked_per_s=300, lag=2 * LAG if now // SECOND % 3 else 0, refused=0.5,
+                                  service={"a": BAD}), heard)
+            self.assertEqual((changes, verdict), (1, Verdict(FULL, "overloaded")))     # the one is its start
+
+    def test_the_last_hall_stands_when_two_are_lost_to_it(self):
+        """Three times its calls come at once, then ever more are late."""
+        changes, verdict = self.changes(
+            lambda now: Signs(asked_per_s=300, lag=3 * LAG, refused=0.6, service={"a": Service(1000, 1000, 50, 300)}),
+            lambda prefix: [])
+        self.assertEqual((changes, verdict.standing), (1, FULL))
+
+
 class Draining(unittest.TestCase):
     def test_stages(self):
         it = Drain()
--- a/tests/test_bgp_session.py
+++ b/tests/test_bgp_session.py
@@ -183,6 +183,21 @@
         rig.it.session.data(now + STEADY, BYE)
         self.assertEqual(rig.it.idle_until - now - STEADY, FIRST_IDLE)
 
+    def test_a_peer_that_is_back_after_an_hour(self):
+        rig, now = Rig(ESTABLISHED), 0
+        rig.event("notification")
+        while now < 3600 * SECOND:
+            now = rig.it.due()
+            rig.it.tick(now)
+            if rig.it.state is CONNECT:
+                rig.it.session.tcp_failed(now)
+        dials = rig.log.count("dial")
+        self.assertTrue(300 < dials < 1500, dials)
+        rig.until(rig.it.due())
+        rig.it.session.tcp_up(rig.now or now + 60 * SECOND)
+        rig.it.session.data(now + 60 * SECOND, opened() + ALIVE)
+        self.assertEqual((rig.it.state, rig.it.ups), (ESTABLISHED, 2))
+
     def test_a_reason_is_heard(self):
         rig = Rig(ESTABLISHED)
         rig.event("notification")
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -20,7 +20,9 @@
 from threadshift.gateway.restarts import FIRST, MOST, STEADY, Restarts
 from threadshift.interface import MS, SECOND
 from threadshift.invoke.client import Client, NoAnswer
+from threadshift.standins.common import Record
 from threadshift.standins.rig import Rig, free_ports
+from threadshift.standins.worker import Machine, Worker
 
 
 def ask(port, path="/v1/functions/text-upper/calls", body=b"x", method="POST", **headers):
@@ -218,6 +220,22 @@
             self.assertEqual(live.call("f").status, 200)
 
 
+class Kinds(unittest.TestCase):
+    def test_clients_and_workers_over_unix_sockets_and_ipv6(self):
+        with tempfile.TemporaryDirectory() as folder:
+            for at in (Address("", 0, f"{folder}/w"), Address("::1", free_ports(1)[0])):
+                with Live(workers=0, extra=f"admin unix:{folder}/admin\n") as live:
+                    worker = Worker(at, Machine("w9"), live.store.address, Record(None))
+                    worker.start()
+                    live.extra.append(worker)
+                    live.list("w9", at)
+                    until(lambda live=live: "w9" in live.front.links and live.front.links["w9"].up)
+                    self.assertEqual(live.call("f").status, 200, at)
+                    with closing(Client(Address("", 0, f"{folder}/admin"))) as admin:
+                        told = json.loads(admin.ask("GET", "/v1/status").body)
+                    self.assertTrue(told["workers"]["w9"]["link"])
+
+
 class Loading(unittest.TestCase):
     def test_a_corrupt_pack_is_never_run(self):
         with Live() as live:
