A function spread over stops no longer falls back on a home that is cold or suspended

Cause: where no fit stop had room and no copy stood, place() fell back on home, which for a function over two or more stops is the group's first worker, fit or not: cold past its budget, or suspended. Change: one word in choice.py, the first fit stop instead; a test that fails without it.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -41,6 +41,27 @@
             went = [place for n in range(held) for place in sent(call(it, f"c{n}", fn="f")[1])]
             self.assertEqual((went[0], len(set(went))), (home, used), (held, fronts, lanes))
 
+    def test_a_home_that_is_no_stop_is_no_last_choice(self):
+        # Found by emulation: with no room anywhere, a function over two stops went to its home, cold past its
+        # budget or suspended as it was.
+        for why, seed in ((why, seed) for why in ("cold", "suspended") for seed in range(4)):
+            it = front_end(4, seed=seed)
+            it.spread = lambda fn, kind, now: setattr(fn, "width", 2)
+            act, _ = call(it, now=SECOND)
+            act.returned(SECOND, 0, Outcome.COMPLETED, 0, final=True)
+            home, *others = it.walk(act.fn)
+            for worker in others:
+                worker.limit = 0.0
+            for worker in (home, *others):
+                worker.warm.clear()
+            if why == "suspended":
+                home.until = 9 * SECOND
+            else:
+                home.since, home.credit, home.earned = 2 * SECOND, 0.0, 2 * SECOND
+            went = sent(call(it, "b", 2 * SECOND)[1])
+            self.assertEqual(len(went), 1)
+            self.assertNotIn(home.name, went, why)
+
     def test_hot_function_spreads_before_and_after_a_reset(self):
         # share of calls, distinct homes on an idle fleet with copies everywhere
         for every, spread in ((30, 1), (12, 2), (4, 3)):
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -275,7 +275,8 @@
         if not warm:
             coming = next((worker for worker in stops if worker.loading(fn)), None)
             if coming is None and self.may_load():
-                return next((worker for worker in stops if self.room(worker, now)), home)
+                # Not home: spread over more stops, home may be no stop at all, cold or suspended.
+                return next((worker for worker in stops if self.room(worker, now)), first)
             if coming is not None and coming.calls(fn) < fn.part:
                 return coming
             if len(fn.parked) < PARKED * fn.lanes and not act.spare:
