--- a/threadshift/gateway/front_end.py
+++ b/threadshift/gateway/front_end.py
@@ -192,7 +192,7 @@
                 continue
             if not sock.family == socket.AF_UNIX:
                 client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.connections.spawn(self.converse, client)
+            self.connections.spawn(self.converse, client, self.api, self.api.looks.unread(time.monotonic_ns()))
 
     def accept_admin(self, sock: socket.socket, admin: Admin) -> None:
         """Operators' connections: few, so one at a time a greenlet, bounded like clients'."""
@@ -201,10 +201,10 @@
             if len(self.connections) < self.told.bounds.connections:
                 self.connections.spawn(self.converse, client, admin)
 
-    def converse(self, client: socket.socket, application: Application | None = None) -> None:
+    def converse(self, client: socket.socket, application: Application, unread: int = 0) -> None:
         """One client's connection. What fails in it is a fault of ours, logged, and ends it alone."""
         try:
-            Connection(client, application or self.api, self.told.bounds, self.watch).serve()
+            Connection(client, application, self.told.bounds, self.watch, unread).serve()
         except Exception as fault:
             cause = fault.__context__ or fault      # a parser wraps what its callbacks raise
             place = traceback.extract_tb(cause.__traceback__)[-1]
--- a/threadshift/invoke/api.py
+++ b/threadshift/invoke/api.py
@@ -94,7 +94,8 @@
         call = requests.call_of(path, exchange.headers, exchange.body, self.functions)
         wish = requests.prefer(exchange.headers.get("prefer", ""))
         # It may have lain unread since the event loop looked last: its client's time ran all the while.
-        call = call._replace(left=call.left - self.looks.unread(time.monotonic_ns()))
+        unread = max(exchange.unread, self.looks.unread(time.monotonic_ns()))
+        call = call._replace(left=call.left - unread)
         if call.left <= 0:
             raise busy(503, "too-late", "its time left was up before it could be read")
         if self.closing:
--- a/threadshift/invoke/http.py
+++ b/threadshift/invoke/http.py
@@ -23,6 +23,7 @@
 READ = 64 << 10            # bytes a read
 NEVER = 1 << 62            # ns; no limit
 LOOK = 100 * MS            # between two looks at all limits; they are of seconds
+PROMPT = 50 * MS           # from accepting to the first bytes: what comes so soon came with the connection
 LINGER = SECOND            # ns; after a refusal the client's bytes are read so long, or it would not see why
 REASONS = {status.value: status.phrase for status in HTTPStatus}
 SINGLE = frozenset({"time-left", "tenant", "idempotency-key", "repetition", "work-hint", "host"})
@@ -40,7 +41,8 @@
 class Exchange:
     """One request and its answer. `held` is the activation taken for it, if any."""
 
-    __slots__ = ("connection", "method", "path", "headers", "body", "keep_alive", "response", "held", "waits")
+    __slots__ = ("connection", "method", "path", "headers", "body", "keep_alive", "response", "held", "waits",
+                 "unread")
 
     def __init__(self, connection: Connection, method: str, path: str, headers: dict[str, str], body: bytes,
                  keep_alive: bool):
@@ -48,6 +50,7 @@
             connection, method, path, headers, body, keep_alive)
         self.response: Response | None = None
         self.held: Any = None
+        self.unread = 0              # ns that it waited with its connection, before that was accepted
         self.waits: Any = None       # the deferred call whose answer it waits for
 
     def respond(self, response: Response) -> None:
@@ -83,9 +86,12 @@
 class Connection:
     """One client connection."""
 
-    def __init__(self, sock: socket.socket, application: Application, bounds: Bounds, watch: Watch):
+    def __init__(self, sock: socket.socket, application: Application, bounds: Bounds, watch: Watch,
+                 unread: int = 0):
         self.sock, self.application, self.bounds, self.watch = sock, application, bounds, watch
-        self.limit = time.monotonic_ns() + bounds.idle      # something must have come by then ...
+        # A connection that waited to be accepted held its first request meanwhile.
+        self.accepted, self.unread = time.monotonic_ns(), unread
+        self.limit = self.accepted + bounds.idle      # something must have come by then ...
         self.write_limit = NEVER                            # ... and what is being written must be taken
         self.expired = self.writing = False
         self.pause = 0                          # ns for which nothing is read, asked for by the application
@@ -147,6 +153,7 @@
         keep = self.parser.should_keep_alive() and not self.application.closing
         exchange = Exchange(self, self.parser.get_method().decode(), self.url.decode("latin-1"), self.headers,
                             bytes(self.body), keep)
+        exchange.unread, self.unread = self.unread, 0
         self.line.append(exchange)
         self.application.handle(exchange)
 
@@ -183,6 +190,8 @@
             if not data or self.expired:
                 return None
             now = time.monotonic_ns()
+            if self.unread and now - self.accepted > PROMPT:
+                self.unread = 0         # it was sent later
             if not self.began:
                 self.began, self.limit = now, now + self.bounds.request
             try:
