Audit: a refusal at the door behind a router may have come from any stopped front end

Change: behind a router all front ends' standstills count for such an answer; two cases in the audit's table.

--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -57,6 +57,13 @@
             ("late while it was stopped", (ASKED, (900, "stopped", "conductor", {"who": "front-0"}),
                                            (1900, "goes-on", "conductor", {"who": "front-0"}),
                                            (1950, *DONE[1:])), set()),
+            ("refused late by one of several, which was stopped", (
+                (0, "try", "clients", FREE | {"mark": "a", "front": -1}),
+                (10, "stopped", "conductor", {"who": "front-1"}),
+                (1900, "goes-on", "conductor", {"who": "front-1"}), (1950, *NO[1:])), set()),
+            ("refused late by one that others' stops do not excuse", (
+                ASKED_FREE, (10, "stopped", "conductor", {"who": "front-1"}),
+                (1900, "goes-on", "conductor", {"who": "front-1"}), (1950, *NO[1:])), {1}),
             ("a send after the answer", (ASKED_FREE, DONE, (500, "invoke", "w1", SENT)), {1}),
             ("read late by a stalled worker", (
                 ASKED_FREE, DONE, (5, "order", "w1", {"words": ["stall", "1s"]}), (600, "invoke", "w1", SENT)),
