--- a/threadshift/bgp/session.py
+++ b/threadshift/bgp/session.py
@@ -142,7 +142,6 @@
             self.timers.clear()
             self.enter(State.ACTIVE)
             self.set("connect-retry", CONNECT_RETRY)
-            self.neighbour.failed(self)
         elif self.state is not State.IDLE and not (self.state is State.ACTIVE and not self.dials):
             self.end("the connection ended")
 
@@ -369,9 +368,6 @@
         self.since, self.ups = session.now, self.ups + 1
         self.routes.up(session.now, self)
 
-    def failed(self, session: Session) -> None:
-        """A dialled connection ended before its OPEN; the session waits to dial again."""
-
     def ended(self, session: Session, was: State, why: str, failed: bool) -> None:
         self.now, self.last = session.now, why
         if session is self.second:
