--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -7,6 +7,7 @@
 import matplotlib
 
 matplotlib.use("svg")
+matplotlib.rcParams["svg.hashsalt"] = "threadshift"     # the same figures give the same file
 from matplotlib import pyplot  # noqa: E402
 
 PLACE = Path(sys.argv[1] if len(sys.argv) > 1 else "docs/measurements")
