Records changed in one field are copied by the library's replace

Need: a last reading found capabilities and signs copied field by field, by position, in five places; a new field would have been lost or shifted there without a word.

--- a/threadshift/bgp/announcer.py
+++ b/threadshift/bgp/announcer.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import NamedTuple
 
 from threadshift.bgp.announce import Borne, Hysteresis, Signs, Standing, Verdict, judge
@@ -56,7 +57,8 @@
         changes = []
         for address in self.addresses:
             others = None if heard is None else self.others(heard(address.prefix))
-            told = signs if address.prefix not in self.word else with_word(signs, self.word[address.prefix])
+            told = signs if address.prefix not in self.word else replace(
+                signs, operator=self.word[address.prefix])
             held = self.held[address.prefix]
             before = held.verdict.standing
             if held.heed(now, judge(told, self.borne, address.types, others, held.waited(now))):
@@ -91,8 +93,3 @@
             self.word.pop(prefix, None)
         else:
             self.word[prefix] = standing
-
-
-def with_word(signs: Signs, standing: Standing) -> Signs:
-    return Signs(signs.listening, signs.lag, signs.roster_age, signs.workers, signs.fit, signs.warmth,
-                 signs.asked_per_s, signs.refused, signs.service, standing, signs.drain)
--- a/threadshift/bgp/codec.py
+++ b/threadshift/bgp/codec.py
@@ -8,6 +8,7 @@
 import ipaddress
 import struct
 from collections.abc import Iterable, Sequence
+from dataclasses import replace
 from typing import Protocol
 
 from threadshift.bgp.path import Capabilities, Family, NextHop, Origin, Path, Prefix
@@ -136,8 +137,7 @@
     if asn == 0:
         raise Fault(OPEN_ERROR, BAD_PEER_AS, text="AS 0 (RFC 7607)")
     # RFC 4760: who names no family speaks IPv4 unicast.
-    return asn, hold, router, Capabilities(frozenset(families) or frozenset({Family.IPV4}), can.four_octets,
-                                           can.refresh, can.restart_time, can.restarting, can.kept)
+    return asn, hold, router, replace(can, families=frozenset(families) or frozenset({Family.IPV4}))
 
 
 def read_capabilities(value: bytes, can: Capabilities, families: set[Family]) -> Capabilities:
@@ -151,15 +151,14 @@
         if code == C_MULTIPROTOCOL and len(data) == 4 and data[3] == UNICAST and data[:2] in (b"\0\1", b"\0\2"):
             families.add(Family(data[1]))
         elif code == C_FOUR_OCTETS and len(data) == 4:
-            can = Capabilities(can.families, int.from_bytes(data, "big"), can.refresh, can.restart_time,
-                               can.restarting, can.kept)
+            can = replace(can, four_octets=int.from_bytes(data, "big"))
         elif code == C_REFRESH:
-            can = Capabilities(can.families, can.four_octets, True, can.restart_time, can.restarting, can.kept)
+            can = replace(can, refresh=True)
         elif code == C_RESTART and len(data) >= 2 and len(data) % 4 == 2:
             head = int.from_bytes(data[:2], "big")
             kept = frozenset(Family(data[n + 1]) for n in range(2, len(data), 4)
                              if data[n:n + 2] in (b"\0\1", b"\0\2") and data[n + 2] == UNICAST and data[n + 3] & 0x80)
-            can = Capabilities(can.families, can.four_octets, can.refresh, head & 0xFFF, bool(head & 0x8000), kept)
+            can = replace(can, restart_time=head & 0xFFF, restarting=bool(head & 0x8000), kept=kept)
     return can
 
 
