--- a/threadshift/days/play.py
+++ b/threadshift/days/play.py
@@ -14,7 +14,6 @@
 from threadshift.days.day import Day
 from threadshift.days.orders import Order, names, orders
 from threadshift.interface import MS, SECOND
-from threadshift.invoke.client import Client, NoAnswer
 from threadshift.standins.common import Record
 from threadshift.standins.rig import Rig, free_ports
 
@@ -83,8 +82,8 @@
                 f"listen {hosts[n]}:{port}\nname front-{n}\nzone {zone}\nroster feed {rig.at['roster']}\n"
                 f"log json info\n{with_front_ends(day)}\n{self.announcing(n)}\n")
             self.start_front(n)
-        for host, port in zip(hosts, ports, strict=True):
-            self.wait_for(Address(host, port))
+        for n, (host, port) in enumerate(zip(hosts, ports, strict=True)):
+            self.wait_for(n, Address(host, port))
         gevent.sleep(max(0, warm - time.monotonic()))
         return ports
 
@@ -128,17 +127,9 @@
         self.rig.processes["roster"].order(
             f"worker {name} {at} zone {self.zones[name]} started {time.time_ns()}")
 
-    def wait_for(self, at: Address) -> None:
-        client, until = Client(at), time.monotonic() + READY_LIMIT
-        while time.monotonic() < until:
-            try:
-                body = client.ask("GET", "/v1/status").body
-                if body.count(b'"link": true') == self.day.fleet.workers:
-                    client.close()
-                    return
-            except NoAnswer:
-                pass
-            gevent.sleep(0.05)
+    def wait_for(self, n: int, at: Address) -> None:
+        if self.rig.linked(f"front-{n}", at, self.day.fleet.workers, READY_LIMIT):
+            return
         raise RuntimeError(f"the front end at {at} did not link to its workers in time")
 
     # Orders.
--- a/threadshift/gateway/demo.py
+++ b/threadshift/gateway/demo.py
@@ -7,7 +7,6 @@
 import gevent
 
 from threadshift.conf.values import Address
-from threadshift.invoke.client import Client, NoAnswer
 from threadshift.links.sockets import listener
 from threadshift.standins.rig import Rig, free_ports
 
@@ -75,15 +74,8 @@
             self.ready(at)
 
     def ready(self, port: int) -> None:
-        client, until = Client(Address("127.0.0.1", port)), time.monotonic() + READY_LIMIT
-        while time.monotonic() < until and self.rig.processes["front"].alive:
-            try:
-                if client.ask("GET", "/v1/status").body.count(b'"link": true') == self.workers:
-                    client.close()
-                    return
-            except NoAnswer:
-                pass
-            gevent.sleep(0.05)
+        if self.rig.linked("front", Address("127.0.0.1", port), self.workers, READY_LIMIT):
+            return
         errors = (self.rig.folder / "front.err").read_text().strip().splitlines()
         raise RuntimeError(f"the gateway did not start: {errors[-1] if errors else 'it says nothing'}")
 
--- a/threadshift/standins/rig.py
+++ b/threadshift/standins/rig.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +13,7 @@
 
 from threadshift.conf import values
 from threadshift.conf.values import Address
+from threadshift.invoke.client import Client, NoAnswer
 
 START_LIMIT = 20           # s until a started process must say where it listens; many start at once
 END_LIMIT = 15             # s until one that was told to end is killed
@@ -105,6 +107,19 @@
     def front_end(self, name: str, conf: Path, index: int = 0) -> Process:
         return self.start(name, "front-end", str(conf), "--index", str(index))
 
+    def linked(self, name: str, at: Address, workers: int, limit: float) -> bool:
+        """Waits until the front end at this address has links to so many workers; False where it dies or is late."""
+        client, until = Client(at), time.monotonic() + limit
+        while time.monotonic() < until and self.processes[name].alive:
+            try:
+                if client.ask("GET", "/v1/status").body.count(b'"link": true') == workers:
+                    client.close()
+                    return True
+            except NoAnswer:
+                pass
+            gevent.sleep(0.05)
+        return False
+
     def kill(self, name: str) -> None:
         """SIGKILL, as a crash would."""
         process = self.processes[name].process
