BGP: dials of all peers share one rate; a peer that asks to come back is not damped

A machine that vanished and is back within the hold time was refused without a word, and would have been damped for up to a minute had it been told. A connection that is not wanted is now told why (CEASE 6/7 beside an established session, 6/5 in a pause), and such an end does not lengthen our own pause: back within hold time + 4 s (test, real sockets).

benchmarks/bgp.py: calls lost and late around each cause, steered three ways.

--- a/benchmarks/bgp.py
+++ b/benchmarks/bgp.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tracemalloc
+from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
 import gevent
@@ -28,10 +29,12 @@
 
 import front_end as bench  # noqa: E402
 from tests.test_bgp_codec import Ears, fuzz
+from threadshift.audit import records
 from threadshift.bgp import codec
 from threadshift.bgp.path import Path as Route
 from threadshift.bgp.rib import Heard
 from threadshift.conf.values import Address
+from threadshift.days import day as days_of
 from threadshift.invoke.client import Client
 from threadshift.standins.common import Record
 from threadshift.standins.feed import RosterFeed
@@ -284,13 +287,76 @@
     return rows
 
 
+# What happens at second 5 of a day of its own: trouble lines, and how long a window is looked at.
+AROUND = {
+    "killed, back after 4 s": ("trouble front_kill at 5s for 4s front 0",),
+    "drained, back after 4 s": ("trouble front_drain at 5s for 4s front 0",),
+    "stands still 2 s": ("trouble balancer_stall at 5s for 2s front 1",),
+    "a hall's workers lost": ("trouble zone_loss at 5s for 4s zone hall-a",),
+    "two halls killed": ("trouble front_kill at 5s for 4s front 0", "trouble front_kill at 5s for 4s front 1"),
+    "all three overloaded": ("trouble burst at 5s for 5s times 9",),
+}
+WINDOW = 6     # s from the cause
+
+
+def around_day(text, steer, troubles):
+    """The three-hall day's parts, 14 s long, with nothing but this trouble."""
+    lines = [line for line in text.splitlines() if not line.startswith("trouble")]
+    return "\n".join(lines).replace("length 40s", "length 14s").replace(
+        "router {", f"router {{\n    steer {steer}") + "\n" + "\n".join(troubles) + "\n"
+
+
+def around_one(job):
+    """One day: first tries in the window, of them lost and late, transitions of front ends that lived on."""
+    cause, steer, seed, text = job
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "a.day"
+        path.write_text(around_day(text, steer, AROUND[cause]))
+        it = subprocess.run([sys.executable, "-m", "threadshift", "play", str(path), "--seed", str(seed), "--record",
+                             f"{folder}/records"], capture_output=True, text=True, check=False)
+        seen = records.read(Path(folder) / "records")
+        start = next(each["start"] for each in seen if each.event == "day")
+        since = start + 5 * 10**9
+        finals = {each["mark"]: each for each in records.by(seen, "answer")}
+        types = {each.name: each for each in days_of.read(f"{folder}/records/day.conf").told.deployment.types}
+        chains = {}
+        for each in records.by(seen, "try"):
+            chains.setdefault(each["first"], []).append(each)
+        asked = lost = late = 0
+        for tries in chains.values():
+            if not since <= tries[0].t < since + WINDOW * 10**9:
+                continue
+            asked += 1
+            done = [finals[one["mark"]].t for one in tries
+                    if one["mark"] in finals and finals[one["mark"]]["final"] == "completed"]
+            lost += not done
+            late += bool(done) and min(done) - tries[0].t > types[tries[0]["type"]].target_latency
+        changes = sum(line.count('"event": "announcement"') + line.count('"announcement"') > 0
+                      for file in Path(folder, "records").glob("front-*.err") for line in file.open())
+        return {"cause": cause, "steer": steer, "seed": seed, "asked": asked, "lost": lost, "late": late,
+                "changes": changes, "breaches": int(re.search(r"breaches (\d+)", it.stdout)[1])}
+
+
+def around(seeds, lanes):
+    """Calls lost or late around each cause, steered three ways, in days of their own with the same seeds."""
+    text = (Path(__file__).parent.parent / "threadshift/days/three-halls.day").read_text()
+    jobs = [(cause, steer, seed, text) for seed in range(1, seeds + 1) for cause in AROUND
+            for steer in ("routes", "alive", "static")]
+    rows = []
+    with ProcessPoolExecutor(lanes) as pool:
+        for row in pool.map(around_one, jobs):
+            rows.append(row)
+            print(json.dumps(row), flush=True)
+    return rows
+
+
 def main():
     words = argparse.ArgumentParser(description=__doc__)
     words.add_argument("--trials", type=int, default=100)
     words.add_argument("--lanes", type=int, default=6)
     words.add_argument("--lane", type=int, default=None)
     words.add_argument("--seeds", type=int, default=2)
-    words.add_argument("--only", nargs="*", default=["causes", "codec", "flapping", "days"])
+    words.add_argument("--only", nargs="*", default=["causes", "codec", "flapping", "days", "around"])
     words.add_argument("--out", default="docs/measurements")
     it = words.parse_args()
     if it.lane is not None:
@@ -308,6 +374,8 @@
         found["flapping"] = flapping(3, 3)
     if "days" in it.only:
         found["days"] = days(it.seeds)
+    if "around" in it.only:
+        found["around"] = around(it.seeds, min(it.lanes, 3))
     path.write_text(json.dumps(found, indent=1) + "\n")
 
 
--- a/tests/test_bgp.py
+++ b/tests/test_bgp.py
@@ -185,6 +185,18 @@
             self.assertTrue(1.9 < time.monotonic() - began < 4.5)
             self.assertIn("hold time", hall.neighbour.last)
 
+    def test_a_machine_that_vanished_and_is_back_within_the_hold_time(self):
+        """The router still holds its old session and refuses the new one, until the hold time has ended the old."""
+        with Hall(hold="3s") as hall:
+            hall.router.obey(["stall", "front-0"])      # as if every packet from here on were lost
+            hall.neighbour.session.wire.connection.sock.shutdown(2)
+            began, peer = time.monotonic(), hall.router.speaker.neighbours["front-0"]
+            until(lambda: "6/7" in hall.neighbour.last, 3)
+            self.assertEqual(peer.downs, 0)
+            until(lambda: peer.downs, 5)
+            until(lambda: hall.neighbour.state is State.ESTABLISHED and hall.route() is not None, 6)
+            self.assertLess(time.monotonic() - began, 3 + 4)
+
     def test_peers_that_accept_and_say_nothing_slow_no_call(self):
         silent = [gevent.server.StreamServer(("127.0.0.1", 0), lambda sock, _: gevent.sleep(60)) for _ in range(20)]
         for server in silent:
--- a/tests/test_bgp_session.py
+++ b/tests/test_bgp_session.py
@@ -2,6 +2,7 @@
 
 from threadshift.bgp import codec
 from threadshift.bgp.codec import Reader
+from threadshift.bgp.pace import PER_SECOND, SAVED, Pace
 from threadshift.bgp.path import Capabilities, Family
 from threadshift.bgp.session import (
     CONNECT_RETRY, FIRST_IDLE, MOST_IDLE, OPEN_WAIT, STEADY, Neighbour, State, Them, Us)
@@ -183,6 +184,19 @@
         rig.it.session.data(now + STEADY, BYE)
         self.assertEqual(rig.it.idle_until - now - STEADY, FIRST_IDLE)
 
+    def test_a_peer_that_still_holds_our_last_session_is_asked_again_at_one_pace(self):
+        """Else damping would keep a machine that vanished and came back away for long after the hold time."""
+        for subcode in (codec.REJECTED, codec.COLLISION):
+            rig, now = Rig(ESTABLISHED), 0
+            for _ in range(9):
+                rig.it.session.data(now, codec.write_notification(codec.CEASE, subcode))
+                self.assertEqual(rig.it.idle_until - now, FIRST_IDLE)
+                now = rig.it.idle_until
+                rig.until(now)
+                rig.it.session.tcp_up(now)
+            rig.it.session.data(now, opened() + ALIVE + BYE)
+            self.assertEqual(rig.it.idle_until - now, 2 * FIRST_IDLE)
+
     def test_a_peer_that_is_back_after_an_hour(self):
         rig, now = Rig(ESTABLISHED), 0
         rig.event("notification")
@@ -210,6 +224,44 @@
         self.assertEqual([call[0] for call in rig.routes.calls], ["up", "down"])
 
 
+class Paced(unittest.TestCase):
+    """Dials of all peers share one rate."""
+
+    def test_a_hundred_that_flap_and_one_that_is_well(self):
+        rigs, pace, dials = [Rig() for _ in range(100)], Pace(0), []
+        for rig in rigs:
+            rig.it.begin(0)
+        for step in range(1200):
+            now = step * SECOND // 20
+            for it in pace.turns([rig.it for rig in rigs], now):
+                it.tick(now)
+            for rig in rigs:
+                if rig.it.state is CONNECT:
+                    dials.append(now)
+                    rig.it.session.tcp_up(now)
+                    rig.it.session.data(now, BYE)
+            if step == 300:
+                well = Rig()
+                well.it.begin(now)
+                rigs.append(well)
+            if step > 302:
+                self.assertIn("dial", rigs[-1].log)         # it waits behind none of them
+        self.assertLessEqual(max(sum(at <= each < at + SECOND for each in dials) for at in dials),
+                             PER_SECOND + SAVED)
+        self.assertTrue(all("dial" in rig.log for rig in rigs))
+
+    def test_other_timers_wait_for_no_turn(self):
+        rig, pace = Rig(ESTABLISHED), Pace(0)
+        pace.saved = 0.0
+        self.assertEqual(pace.turns([rig.it], 3 * SECOND), [rig.it])        # its keepalive
+        self.assertEqual(pace.turns([Rig(IDLE).it], 3 * SECOND), [])
+
+    def test_passive_peers_begin_at_once(self):
+        rig = Rig(passive=True)
+        rig.it.begin(0)
+        self.assertEqual((rig.it.state, rig.it.dials_at()), (ACTIVE, None))
+
+
 class Collisions(unittest.TestCase):
     """Section 6.8: the connection opened by the side with the higher router id stays."""
 
--- a/threadshift/bgp/session.py
+++ b/threadshift/bgp/session.py
@@ -38,6 +38,10 @@
     ESTABLISHED = "established"
 
 
+# A peer that still holds the session of our last life, until its hold time ends it, says one of these: it is well,
+# and damping it would keep us away for long after.
+NOT_YET = (codec.REJECTED, codec.COLLISION)
+
 FSM_SUBCODE = {State.OPEN_SENT: 1, State.OPEN_CONFIRM: 2, State.ESTABLISHED: 3}      # RFC 6608
 
 
@@ -219,6 +223,7 @@
         reason = codec.read_reason(data) if code == codec.CEASE and subcode in (
             codec.ADMIN_SHUTDOWN, codec.ADMIN_RESET) else ""
         self.reader.ended = True
+        self.neighbour.not_yet = code == codec.CEASE and subcode in NOT_YET
         self.end(f"the peer says error {code}/{subcode}{': ' + reason if reason else ''}")
 
     def update(self) -> None:
@@ -288,6 +293,7 @@
         self.wanted = False
         self.idle_until: int | None = None
         self.pause = 0
+        self.not_yet = False             # the peer only asked us to come back
         self.since = 0                   # established since, 0: not
         self.now = 0
         self.last = ""                   # why the last session ended
@@ -299,6 +305,13 @@
         self.now, self.wanted, self.idle_until = now, True, None
         self.session.start(now)
 
+    def begin(self, now: int) -> None:
+        """As start(), in its turn among all peers that want to dial (pace.py)."""
+        if self.them.passive:
+            self.start(now)
+        else:
+            self.now, self.wanted, self.idle_until = now, True, now
+
     def stop(self, now: int, subcode: int, reason: str) -> None:
         self.now, self.wanted, self.idle_until = now, False, None
         if self.second is not None:
@@ -329,6 +342,12 @@
         dues = [self.session.due(), self.second.due() if self.second else None, self.idle_until]
         return min((each for each in dues if each is not None), default=None)
 
+    def dials_at(self) -> int | None:
+        """When its timers would have it dial."""
+        if self.them.passive:
+            return None
+        return self.idle_until if self.idle_until is not None else self.session.timers.get("connect-retry")
+
     def tick(self, now: int) -> None:
         self.now = now
         if self.idle_until is not None and self.idle_until <= now:
@@ -383,7 +402,8 @@
             self.session, self.second = self.second, None       # the other connection goes on alone
             return
         if failed and self.wanted and self.idle_until is None:
-            self.pause = min(MOST_IDLE, max(FIRST_IDLE, 2 * self.pause))
+            self.pause = max(FIRST_IDLE, self.pause if self.not_yet else min(MOST_IDLE, 2 * self.pause))
+            self.not_yet = False
             self.idle_until = session.now + int(self.pause * (1 - JITTER * self.chance()))
 
     def renew(self) -> None:
--- a/threadshift/bgp/speaker.py
+++ b/threadshift/bgp/speaker.py
@@ -13,9 +13,10 @@
 import gevent
 from gevent import socket
 from gevent.event import Event
-from gevent.pool import Group
+from gevent.pool import Group, Pool
 
 from threadshift.bgp import codec
+from threadshift.bgp.pace import Pace
 from threadshift.bgp.path import Family, Path, Prefix
 from threadshift.bgp.rib import Heard, Told
 from threadshift.bgp.session import Neighbour, Session, State, Them, Us
@@ -28,6 +29,7 @@
 MOST_WAITING = 1 << 20     # bytes to be written to one peer: over 10,000 routes
 MOST_HEARD = 10_000        # routes kept of one peer; a full table is refused
 CLOSE_LIMIT = SECOND       # ns; a last NOTIFICATION leaves within it or not at all
+MOST_REFUSED = 8           # connections that are being told why they are not wanted; more are just closed
 FULL_HOPS = 255            # GTSM (RFC 5082): the TTL that only a neighbour can have
 IP_MINTTL = 21             # Linux: the least TTL that a socket takes
 
@@ -185,6 +187,8 @@
         self.neighbours = {name: Neighbour(us, peer.them, self, self.wire_to(peer), chance)
                            for name, peer in self.peers.items()}
         self.greenlets = Group()
+        self.refusals = Pool(MOST_REFUSED)
+        self.pace = Pace(time.monotonic_ns())
         self.sock: socket.socket | None = None
 
     def wire_to(self, peer: PeerAddress) -> Callable[[Neighbour], TcpWire]:
@@ -195,8 +199,10 @@
         if self.listen is not None:
             self.sock = listener(self.listen, shared=False)
             self.greenlets.spawn(self.accept)
+        now = time.monotonic_ns()
         for neighbour in self.neighbours.values():
-            neighbour.start(time.monotonic_ns())
+            neighbour.begin(now)
+        self.tick(now)
 
     def accept(self) -> None:
         assert self.sock is not None
@@ -210,16 +216,32 @@
                 gevent.sleep(0.1)
                 continue
             peer = next((each for each in self.peers.values() if each.address.host == source[0]), None)
-            wire = TcpWire(self, peer, sock) if peer is not None else None
-            if peer is None or wire is None or self.neighbours[peer.them.name].incoming(
-                    time.monotonic_ns(), wire) is None:
+            if peer is None:
+                sock.close()
+                continue
+            neighbour = self.neighbours[peer.them.name]
+            if neighbour.incoming(time.monotonic_ns(), TcpWire(self, peer, sock)) is not None:
+                continue
+            if self.refusals.free_count():
+                stands = neighbour.state is State.ESTABLISHED
+                self.refusals.spawn(self.refuse, sock, codec.COLLISION if stands else codec.REJECTED)
+            else:
                 sock.close()
 
+    @staticmethod
+    def refuse(sock: socket.socket, subcode: int) -> None:
+        """Says why (RFC 4271, section 6.8; RFC 4486), and reads until the peer has heard: a close on bytes unread
+        would reset the connection under the message."""
+        with suppress(OSError), gevent.Timeout(CLOSE_LIMIT / SECOND, False):
+            sock.sendall(codec.write_notification(codec.CEASE, subcode))
+            sock.shutdown(socket.SHUT_WR)
+            while sock.recv(READ):
+                pass
+        sock.close()
+
     def tick(self, now: int) -> None:
-        for neighbour in self.neighbours.values():
-            due = neighbour.due()
-            if due is not None and due <= now:
-                neighbour.tick(now)
+        for neighbour in self.pace.turns(self.neighbours.values(), now):
+            neighbour.tick(now)
 
     def announce(self) -> None:
         """Brings every established neighbour to what is wanted now."""
@@ -238,6 +260,7 @@
             neighbour.stop(now, codec.ADMIN_SHUTDOWN, reason)
         gevent.sleep(0)
         self.greenlets.kill()
+        self.refusals.kill()
 
     @property
     def established(self) -> int:
