Emulator: routers and announcements, front ends' processor, operators' acts, drift and chains

The model had no router, no own processor and ignored drains of front ends. Now each modelled front end has its real announcer and drain, a processor that serves one event at a time with the real admission before it, and ends in order; the router chooses as the stand-in does.

--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -5,7 +5,7 @@
 from threadshift.days.day import KINDS, Day, read, read_text
 from threadshift.days.orders import Order, names, orders
 from threadshift.days.play import with_front_ends
-from threadshift.days.traffic import tries
+from threadshift.days.traffic import follower, tries
 from threadshift.interface import MS, SECOND
 
 DAY = """
@@ -28,7 +28,7 @@
     functions 30
 }
 """
-CONDUCTED = ("!kill", "!renew", "!stop", "!go-on", "!drain")
+CONDUCTED = ("!kill", "!renew", "!stop", "!go-on", "!drain", "!reload", "!say")
 
 
 def day(*troubles, seed=1, **changes) -> Day:
@@ -39,6 +39,16 @@
 
 
 class Reading(unittest.TestCase):
+    def test_popularity_drifts_and_deferred_calls_have_chains(self):
+        plain, moved = day(), day(**{"rate 100": "rate 100\n    drift 5s\n    deferred 50%\n    chain 2"})
+        first, then = list(tries(plain, 1)), list(tries(moved, 1))
+        for one, other in zip(first, then, strict=True):
+            rank = int(one.function.rsplit("-", 1)[1]) - one.at // (5 * SECOND)
+            self.assertEqual(other.function, f"check-{rank % 30:03d}")
+            self.assertEqual(other.chain, 2 * other.deferred)
+        link = follower(next(each for each in then if each.chain))
+        self.assertEqual((link.chain, link.mark[-1], follower(link).chain), (1, "c", 0))
+
     def test_mistakes_name_their_line(self):
         cases = (("trouble", "a.day:20:", "no kind of trouble"),
                  ("trouble crahs", "a.day:20:", "nearest known is 'crash'"),
@@ -102,12 +112,12 @@
     def test_every_kind_of_trouble_can_be_ordered(self):
         clients = {"burst", "hot_key", "heavy_tail", "scan", "give_up", "shift"}
         for kind in KINDS:
-            it = day(f"{kind} at 4s for 6s")
+            it = day(f"{kind} at 4s for 6s", **{"fleet-of 6": "router {\n}\nfleet-of 6"})
             found = orders(it, 1)
             self.assertEqual(bool(found), kind not in clients, kind)
             for order in found:
                 self.assertIn(order.who, [*names(it), "store", "roster", "workers", "front-0", "front-1", "front-2"])
-                self.assertTrue(not order.words.startswith("!") or order.words in CONDUCTED, order)
+                self.assertTrue(not order.words.startswith("!") or order.words.split()[0] in CONDUCTED, order)
                 self.assertGreaterEqual(order.at, 4 * SECOND)
             self.assertEqual(found, sorted(found, key=lambda order: order.at))
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -140,6 +140,72 @@
             self.assertIn(rule, {each.rule for each in found}, name)
 
 
+ROUTER = "router {\n    hold 3s\n    steer STEER\n}\n"
+
+
+class Halls(unittest.TestCase):
+    """Announcements, routers and the front ends' own processor on the virtual clock."""
+
+    def steered(self, steer, *troubles, seed=1):
+        text = ROUTER.replace("STEER", steer) + DAY + "".join(f"trouble {each}\n" for each in troubles)
+        it = Emulation(read_text(text, seed=seed), seed)
+        it.run()
+        return it, text
+
+    def test_routes_keep_calls_from_a_dead_front_end(self):
+        """Static routes break every try that is steered to it, routes only those until they have changed."""
+        broken = {}
+        for steer in ("routes", "alive", "static"):
+            it, text = self.steered(steer, "front_kill at 4s for 4s front 0")
+            broken[steer] = sum(line["e"] == "broke" for line in it.records["clients"])
+            if steer == "routes":
+                self.assertEqual([str(each) for each in verdict(it, text)[0]], [])
+        self.assertLess(broken["routes"], broken["static"] / 4)
+        self.assertLess(broken["alive"], broken["static"] / 4)
+
+    def test_a_drain_and_an_upgrade_in_order_break_nothing(self):
+        for trouble in ("front_drain at 3s for 8s front 1", "override at 3s for 3s front 2", "reload at 3s"):
+            it, text = self.steered("routes", trouble)
+            found, served = verdict(it, text)
+            self.assertEqual([str(each) for each in found], [], trouble)
+            self.assertEqual(sum(line["e"] == "broke" for line in it.records["clients"]), 0, trouble)
+            self.assertGreater(served, 0.97, trouble)
+
+    def test_one_that_stands_still_past_the_hold_time_loses_its_route_and_gets_it_back(self):
+        it, _ = self.steered("routes", "balancer_stall at 3s for 2s front 0")
+        hops = [line["routes"]["192.0.2.1/32"] for line in it.records["router"] if line["e"] == "chosen"]
+        self.assertEqual(len(hops[-1]), 3)
+        hall = it.fronts["front-1"].hall
+        it.stop("front-1")
+        it.clock.run(it.clock.now + 4 * SECOND)
+        self.assertNotIn(1, it.router.routes)
+        it.go_on("front-1")
+        it.clock.run(it.clock.now + 2 * SECOND)
+        self.assertIs(it.router.halls[1], hall)
+        self.assertIn(1, it.router.routes)
+
+    def test_more_than_the_processor_can_do_is_refused_at_the_door(self):
+        text = DAY.replace("rate 40", "rate 4500\n    work 1ms").replace("front-ends 3", "front-ends 1").replace(
+            "length 12s", "length 5s").replace("rate 15", "rate 1")
+        it = Emulation(read_text(text, seed=1), 1)
+        it.run()
+        front = it.fronts["front-0"]
+        self.assertGreater(front.admission.refused, 1000)
+        calls = [line for line in it.records["clients"] if line["e"] in ("try", "answer")]
+        self.assertLess(front.used, calls[-1]["t"] - calls[0]["t"])         # it was one processor
+        self.assertGreater(front.used, 2.5 * SECOND)
+        late = [line for line in calls if line["e"] == "answer" and line["final"] == "completed"]
+        self.assertGreater(len(late), 1000)
+
+    def test_chains_follow_completed_filings(self):
+        text = DAY.replace("rate 15", "rate 15\n    deferred 100%\n    chain 2")
+        it = Emulation(read_text(text, seed=1), 1)
+        it.run()
+        tries = [line for line in it.records["clients"] if line["e"] == "try" and line["type"] == "submit"]
+        links = [sum(line["first"].count("c") == n for line in tries) for n in range(3)]
+        self.assertGreater(links[2], 0.9 * links[0])
+
+
 class Clocks(unittest.TestCase):
     def test_events_in_order_and_those_at_one_time_as_set(self):
         it, seen = Clock(5), []
--- a/threadshift/days/day.py
+++ b/threadshift/days/day.py
@@ -64,6 +64,8 @@
     retries: int
     retry_after: int     # ns; twice as long each time
     quits: float         # share of clients that leave early
+    drift: int = 0       # ns after which each name is one rank less popular, the last the first; 0: never
+    chain: int = 0       # deferred calls that follow a completed one, one after another
 
 
 class Trouble(NamedTuple):
@@ -103,6 +105,8 @@
     "store_refuse": frozenset({"share"}), "store_slow": frozenset({"times"}), "store_corrupt": frozenset(),
     "stall": frozenset({"workers"}), "break_after_run": frozenset({"workers"}),
     "break_mid_frame": frozenset({"workers"}), "drain": frozenset({"workers"}),
+    # Operators' acts.
+    "upgrade": frozenset(), "reload": frozenset(), "override": frozenset({"front"}),
 }
 FLEET = Block({
     "zones": Word(lambda words: tuple(map(values.name, words)), ("hall-a",), words=-1),
@@ -119,6 +123,7 @@
     "hint-error": Word(values.share, 0.3), "deferred": Word(values.share, 0.0),
     "left-least": Word(values.share, 0.5), "retries": Word(lambda text: int(values.number(text)), 0),
     "retry-after": Word(values.duration, 200 * MS), "quits": Word(values.share, 0.0),
+    "drift": Word(values.duration, 0), "chain": Word(lambda text: int(values.number(text)), 0),
 })
 FACTS: dict[str, tuple[str, Callable[[str], Any]]] = {
     "at": ("at", values.duration), "for": ("length", values.duration), "workers": ("workers", values.number),
--- a/threadshift/days/orders.py
+++ b/threadshift/days/orders.py
@@ -81,6 +81,17 @@
     if it.kind == "front_drain":
         return [Order(it.at, f"front-{it.front}", "!drain"),
                 Order(it.at + it.length, f"front-{it.front}", "!renew")]
+    if it.kind == "upgrade":
+        # Every front end in turn: drained, then started anew.
+        step = it.length // day.front_ends
+        return [order for n in range(day.front_ends) for order in
+                (Order(it.at + n * step, f"front-{n}", "!drain"),
+                 Order(it.at + n * step + min(step // 2, 4 * SECOND), f"front-{n}", "!renew"))]
+    if it.kind == "reload":
+        return [Order(it.at, f"front-{n}", "!reload") for n in range(day.front_ends)]
+    if it.kind == "override" and day.router is not None:
+        return [Order(it.at, f"front-{it.front}", "!say withdraw"),
+                Order(it.at + it.length, f"front-{it.front}", "!say auto")]
     return []       # a trouble of clients: traffic.py
 
 
--- a/threadshift/days/play.py
+++ b/threadshift/days/play.py
@@ -6,6 +6,7 @@
 
 import signal
 import time
+from contextlib import suppress
 from pathlib import Path
 
 import gevent
@@ -14,6 +15,7 @@
 from threadshift.days.day import Day
 from threadshift.days.orders import Order, names, orders
 from threadshift.interface import MS, SECOND
+from threadshift.invoke.client import Client, NoAnswer
 from threadshift.standins.common import Record
 from threadshift.standins.rig import Rig, free_ports
 
@@ -34,6 +36,7 @@
         self.record = Record(str(folder / "conductor.jsonl"))
         self.rig = Rig(folder)
         self.zones = names(day)
+        self.admin: dict[str, Address] = {}      # of front ends that announce
 
     def play(self) -> None:
         with self.rig:
@@ -105,7 +108,8 @@
         it = self.day.router
         if it is None:
             return ""
-        return (f"bgp {{\nlocal-as {FIRST_AS + n}\nrouter-id 10.0.0.{n + 1}\nnext-hop {self.host(n)}\n"
+        at = self.admin.setdefault(f"front-{n}", Address(self.host(n), free_ports(1)[0]))
+        return (f"admin {at}\nbgp {{\nlocal-as {FIRST_AS + n}\nrouter-id 10.0.0.{n + 1}\nnext-hop {self.host(n)}\n"
                 f"hold-time {it.hold}s\nreflects yes\naddress {SERVICE} {{\n}}\npeer router {{\n"
                 f"address {self.rig.at['router']}\nas 65000\nsource {self.host(n)}\n}}\n}}")
 
@@ -137,7 +141,8 @@
     def carry_out(self, order: Order) -> None:
         self.record.note("order", who=order.who, words=order.words)
         if order.words.startswith("!"):
-            getattr(self, order.words[1:].replace("-", "_"))(order.who)
+            act, *more = order.words[1:].split()
+            getattr(self, act.replace("-", "_"))(order.who, *more)
         elif order.who == "workers":
             for name in self.zones:
                 self.rig.processes[name].order(order.words)
@@ -172,7 +177,15 @@
         self.rig.processes[who].signal(signal.SIGCONT)
         self.record.note("goes-on", who=who)
 
+    def reload(self, who: str) -> None:
+        self.record.note("reloads", who=who)
+        self.rig.processes[who].signal(signal.SIGHUP)
 
+    def say(self, who: str, word: str) -> None:
+        """An operator's word on its announcements."""
+        self.record.note("says", who=who, word=word)
+        with suppress(NoAnswer):                # it may be dead just then
+            Client(self.admin[who]).ask("POST", f"/v1/bgp/{word}", {}, b"")
 
 
 def with_front_ends(day: Day) -> str:
--- a/threadshift/days/traffic.py
+++ b/threadshift/days/traffic.py
@@ -14,6 +14,7 @@
 from threadshift.days.day import Day, Traffic, Trouble
 from threadshift.interface import MS, NamespaceType, Tenant
 
+ANY = -1                   # a front end that the router chose
 HINT_LEAST = 0.2           # a hint is never below this part of the work
 
 
@@ -32,6 +33,12 @@
     hint: int            # what its client says
     deferred: bool
     quits_after: int     # ns; 0: it waits for its answer
+    chain: int = 0       # calls that follow, each once the one before it has completed
+
+
+def follower(it: Try) -> Try:
+    """The next call of a chain: a new call of the same function."""
+    return it._replace(mark=f"{it.mark}c", chain=it.chain - 1)
 
 
 def in_force(day: Day, kind: str, at: int) -> Trouble | None:
@@ -45,8 +52,10 @@
         self.names = [f"{traffic.name}-{n:03d}" for n in range(traffic.functions)]
         self.sums = list(accumulate(1 / (n + 1) ** traffic.zipf for n in range(traffic.functions)))
 
-    def draw(self, point: float) -> str:
-        return self.names[bisect.bisect(self.sums, point * self.sums[-1])]
+    def draw(self, point: float, drifted: int = 0) -> str:
+        """`drifted`: by how many ranks all names have moved down."""
+        rank = bisect.bisect(self.sums, point * self.sums[-1])
+        return self.names[(rank - drifted) % len(self.names)]
 
 
 def tries(day: Day, seed: int) -> Iterator[Try]:
@@ -70,7 +79,7 @@
             names: Popularity) -> Try:
     # Every draw is made whatever troubles are on, so that a trouble changes nothing but what it is about.
     point, size, hint, patience, defer, quit_, leave, who, place, special, pick = (it.random() for _ in range(11))
-    function = names.draw(point)
+    function = names.draw(point, at // traffic.drift if traffic.drift else 0)
     if (hot := in_force(day, "hot_key", at)) and special < hot.share:
         function = f"{traffic.name}-hot"
     elif (scan := in_force(day, "scan", at)) and special < scan.share:
@@ -87,7 +96,8 @@
     told = work * max(HINT_LEAST, 1 + traffic.hint_error * (2 * hint - 1))
     return Try(at, mark, front, function, type_, traffic, int(left // MS * MS),
                tenant(day.told.deployment.tenants, who), int(work), int(told // MS * MS),
-               defer < traffic.deferred, int(left * leave) if quit_ < traffic.quits else 0)
+               defer < traffic.deferred, int(left * leave) if quit_ < traffic.quits else 0,
+               traffic.chain if defer < traffic.deferred else 0)
 
 
 def tenant(tenants: tuple[Tenant, ...], point: float) -> str:
--- a/threadshift/emulator/front.py
+++ b/threadshift/emulator/front.py
@@ -1,4 +1,7 @@
-"""A front end in the emulator: the real desk, decisions and membership behind modelled connections.
+"""A front end in the emulator: the real desk, decisions, membership and admission behind modelled connections.
+
+Its processor is one server, first come first served: what arrives while it is busy waits, and how long is the lag by
+which admission refuses at the door.
 
 What a broken connection proves is kept as the links have it: a frame that had not left never ran; one on its way, or
 delivered and not answered, may have run.
@@ -6,8 +9,9 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from threadshift.choice import Dispatcher
 from threadshift.days.day import Day
@@ -15,26 +19,39 @@
 from threadshift.emulator.clock import Clock
 from threadshift.emulator.network import Network
 from threadshift.emulator.worker import Job, ModelWorker
-from threadshift.interface import MS, Copy, Outcome, Report
+from threadshift.interface import Copy, Deployment, Outcome, Report
+from threadshift.invoke.admission import PERIOD, Admission
 from threadshift.links.redial import Redial
 from threadshift.roster.membership import Entry, Membership
 
-CONNECT = 300 * MS         # until a dial that nobody answers counts as failed; a day's `bounds connect` where told
+if TYPE_CHECKING:
+    from threadshift.emulator.router import ModelHall
+
+# ns of processor: a call read, parsed and placed, or refused at the door; what workers say is in network.py.
+# Together a served call costs 320 us, as measured at saturation with 12 workers.
+CALL, REFUSED = 190_000, 110_000
+
+Policy = Callable[[int, Deployment, int], Dispatcher]
 
 
 class ModelFront:
     """One life of a front end; a restart makes a new one."""
 
     def __init__(self, clock: Clock, day: Day, name: str, zone: str, network: Network, seed: int,
-                 answered: Callable[[Held], None], refuse: Callable[[Any], None]):
+                 answered: Callable[[Held], None], refuse: Callable[[Any], None], policy: Policy = Dispatcher):
         self.clock, self.day, self.name, self.zone, self.network = clock, day, name, zone, network
         chance = random.Random(f"{seed} {name} {clock.now}")
         self.chance = chance.random
         told = day.told.deployment._replace(front_ends=day.front_ends, zone=zone)
-        self.desk = Desk(Dispatcher(chance.getrandbits(63), told, clock.now), self, self, day.told.bounds.load_order)
+        self.desk = Desk(policy(chance.getrandbits(63), told, clock.now), self, self, day.told.bounds.load_order)
         self.membership = Membership(told.drain_grace)
         self.tell, self.refuse = answered, refuse
-        self.alive = True
+        self.admission = Admission(min(each.target_latency for each in told.types))
+        self.hall: ModelHall | None = None
+        self.alive, self.closing = True, False
+        self.inbox: deque[tuple] = deque()          # what waits for the processor
+        self.busy_until = self.waiting = 0          # ns; the work of the inbox
+        self.used = 0                               # ns of processor, in all
         self.backlog: list[tuple] | None = None     # what came while its process stood still ...
         self.stopped = 0                            # ... since then
         self.held_up = 0                            # what is heard now may have waited so long unread
@@ -60,19 +77,48 @@
             due = min(due, self.clock.now + self.membership.grace // 2)
         self.clock.at(due, self.tick)
 
-    def hear(self, act: Callable[..., None], *words: Any) -> None:
-        """Something arrives; a process that stands still reads it later, one that is dead never."""
+    def hear(self, cost: int, act: Callable[..., None], *words: Any) -> None:
+        """Something arrives. One busy reads it in turn, one that stands still later, one that is dead never."""
         if not self.alive:
             return
         if self.backlog is not None:
-            self.backlog.append((act, words))
-            return
+            self.backlog.append((cost, act, words))
+        elif self.inbox or self.clock.now < self.busy_until:
+            if not self.inbox:
+                self.clock.at(self.busy_until, self.work)
+            self.inbox.append((cost, act, words))
+            self.waiting += cost
+        else:
+            self.do(cost, act, words)
+
+    def do(self, cost: int, act: Callable[..., None], words: tuple) -> None:
+        self.busy_until = self.clock.now + cost
+        self.used += cost
         act(*words)
 
+    def work(self) -> None:
+        """The processor is free for the next in turn."""
+        if not self.alive or self.backlog is not None or not self.inbox:
+            return
+        cost, act, words = self.inbox.popleft()
+        self.waiting -= cost
+        self.do(cost, act, words)
+        if self.inbox:
+            self.clock.at(self.busy_until, self.work)
+
+    @property
+    def lag(self) -> int:
+        """How late a timer would come now, ns."""
+        return max(0, self.busy_until - self.clock.now) + self.waiting
+
     # Clients and roster.
 
     def take(self, call: Call, client: Any) -> None:
-        if call.left <= self.held_up:
+        if self.clock.now - self.admission.read >= PERIOD:
+            self.admission.measured(self.clock.now, self.lag)
+        if call.left <= self.held_up or self.closing or not self.admission.admit(call.again):
+            self.busy_until -= CALL - REFUSED
+            self.used -= CALL - REFUSED
             self.refuse(client)
             return
         call = call._replace(left=call.left - self.held_up)
@@ -99,12 +145,45 @@
             return                  # another process by now
         backlog, self.backlog, self.held_up = self.backlog, None, self.clock.now - self.stopped
         self.tick()
-        for act, words in backlog:
+        for cost, act, words in [*self.inbox, *backlog]:
+            self.used += cost
             act(*words)
-        self.held_up = 0
+        self.inbox.clear()
+        self.held_up = self.waiting = 0
+
+    def drain(self) -> None:
+        """Told to end in order: routes first, where it announces any."""
+        if self.hall is not None:
+            self.hall.drain.begin(self.clock.now, self.hall.arrivals.per_second(self.clock.now))
+        else:
+            self.close()
+
+    def close(self) -> None:
+        """No new calls; the process ends with its last answer, or when its time for that is up."""
+        if not self.closing:
+            self.closing = True
+            self.clock.after(self.day.told.bounds.drain, self.end)
+            self.end_if_done()
+
+    def end_if_done(self) -> None:
+        if self.closing and not self.desk.owed:
+            self.end()
+
+    def end(self) -> None:
+        self.alive = False
+        if self.hall is not None:
+            self.hall.router.lost(self.hall)
+
+    def linked(self, worker: str) -> bool:
+        it = self.network.reach(self.name, self.zone, worker)
+        return it is not None and self.clock.now >= self.not_before.get(worker, 0)
 
     def answered(self, held: Held) -> None:
+        if self.hall is not None:
+            self.hall.recent.note(self.clock.now, held)
         self.tell(held)
+        if self.closing:
+            self.clock.after(0, self.end_if_done)
 
     def over(self, held: Held) -> None:
         """Nothing is kept here."""
@@ -126,10 +205,7 @@
 
     @staticmethod
     def deliver(it: ModelWorker, job: Job, hint: int, lanes: int) -> None:
-        it.invoke(job, hint)
-        shelf = it.shelves.get(job.function)
-        if shelf is not None:
-            shelf.lanes = lanes
+        it.invoke(job, hint, lanes)
 
     def replied(self, worker: str, key: tuple, outcome: Outcome | None, copy: Copy, report: Report | None) -> None:
         if outcome is None:
--- a/threadshift/emulator/network.py
+++ b/threadshift/emulator/network.py
@@ -14,6 +14,7 @@
 
 LOCAL = MS // 4            # one way within a machine, with both processes' own time; measured on loopback
 SPREAD = 0.5               # of it, by chance
+REPLY, OTHER = 130_000, 20_000     # ns of a front end's processor; see front.py
 
 
 class Network:
@@ -47,7 +48,7 @@
     def back(self, front: ModelFront, it: ModelWorker, act: Callable[..., None], *words: Any) -> None:
         """An answer, unless the worker died before it left."""
         if it.alive:
-            self.clock.after(self.delay() + self.held_up(front, it), front.hear, act, *words)
+            self.clock.after(self.delay() + self.held_up(front, it), front.hear, REPLY, act, *words)
 
     def die(self, name: str) -> None:
         """A worker's process ends: every connection to it breaks."""
@@ -56,4 +57,4 @@
             return
         it.alive = False
         for front in self.fronts.values():
-            self.clock.after(self.delay(), front.hear, front.broke, name)
+            self.clock.after(self.delay(), front.hear, OTHER, front.broke, name)
--- a/threadshift/emulator/run.py
+++ b/threadshift/emulator/run.py
@@ -10,11 +10,14 @@
 from threadshift.conf.values import Address
 from threadshift.days.day import Day
 from threadshift.days.orders import Order, names, orders
-from threadshift.days.traffic import Try, tries
+from threadshift.days.traffic import ANY, Try, follower, tries
 from threadshift.desk.desk import Call, Final, Held
 from threadshift.emulator.clock import Clock
-from threadshift.emulator.front import ModelFront
-from threadshift.emulator.network import Network
+from threadshift.bgp.announce import Standing
+from threadshift.choice import Dispatcher
+from threadshift.emulator.front import CALL, ModelFront, Policy
+from threadshift.emulator.network import OTHER, Network
+from threadshift.emulator.router import ModelHall, ModelRouter
 from threadshift.emulator.store import MB, ModelStore
 from threadshift.emulator.worker import ModelWorker
 from threadshift.interface import MS, SECOND, Effect, State
@@ -22,14 +25,15 @@
 from threadshift.standins.worker import Machine
 
 START = 1_000 * SECOND     # virtual; times of 0 mean "never" in many places
+WORDS = {"withdraw": Standing.WITHDRAWN, "last-resort": Standing.LAST, "auto": None}
 OVERTIME = SECOND          # that clients wait past their time left, as the stand-in's do
 
 
 class Emulation:
     """One day, once. `records` holds lines by source; write() leaves them as a played day does."""
 
-    def __init__(self, day: Day, seed: int):
-        self.day, self.seed = day, seed
+    def __init__(self, day: Day, seed: int, policy: Policy = Dispatcher):
+        self.day, self.seed, self.policy = day, seed, policy
         self.clock = Clock(START)
         self.records: dict[str, list[dict[str, Any]]] = {}
         self.zones = names(day)
@@ -40,6 +44,10 @@
         self.late = 0
         self.late_until = 0
         self.ended: set[str] = set()         # marks of tries that were answered
+        self.router = ModelRouter(self.clock, day.router, self.network.delay, self.noter("router")) if (
+            day.router) else None
+        if hasattr(policy, "network"):
+            policy.network = self.network    # an oracle sees all
 
     def noter(self, source: str, **always: Any) -> Callable[..., None]:
         lines = self.records.setdefault(source, [])
@@ -58,13 +66,15 @@
             self.entries[name] = self.entry(name)
         for n in range(self.day.front_ends):
             self.start_front(n)
-        begin = self.clock.now + SECOND // 2
+        begin = self.clock.now + (SECOND // 2 if self.router is None else self.router.it.converge + SECOND)
         conductor("day", seed=self.seed, start=begin, grace=self.day.told.deployment.drain_grace)
         clients = self.noter("clients")
         for each in tries(self.day, self.seed):
             self.clock.at(begin + each.at, self.ask, each, 0, clients)
         for order in orders(self.day, self.seed):
             self.clock.at(begin + order.at, self.carry_out, order, conductor)
+        if self.router is not None:
+            conductor("router", converge=self.router.it.converge, steer=self.router.it.steer)
         longest = max(each.action_timeout for each in self.day.told.deployment.types)
         self.clock.run(begin + self.day.length + 4 * longest + 5 * SECOND)
 
@@ -92,8 +102,10 @@
     def start_front(self, n: int) -> None:
         name = f"front-{n}"
         zone = self.day.fleet.zones[n % len(self.day.fleet.zones)]
-        self.fronts[name] = ModelFront(self.clock, self.day, name, zone, self.network, self.seed, self.answered,
-                                       self.refused)
+        front = self.fronts[name] = ModelFront(self.clock, self.day, name, zone, self.network, self.seed,
+                                               self.answered, self.refused, self.policy)
+        if self.router is not None:
+            front.hall = ModelHall(self.clock, front, self.router, n)
         self.noter("conductor")("front-up", front=n)
         self.tell(list(self.entries.values()), True, [name])
 
@@ -108,13 +120,13 @@
         if front.alive:
             self.noter("roster")("told", front=name, full=full,
                                  states={each.worker: each.state.value for each in entries})
-            front.hear(front.listed, entries, full)
+            front.hear(OTHER, front.listed, entries, full)
 
     def carry_out(self, order: Order, note: Callable[..., None]) -> None:
         note("order", who=order.who, words=order.words)
         words = order.words.split()
         if words[0].startswith("!"):
-            getattr(self, words[0][1:].replace("-", "_"))(order.who)
+            getattr(self, words[0][1:].replace("-", "_"))(order.who, *words[1:])
         elif order.who == "roster":
             self.roster_order(words)
         elif order.who == "store":
@@ -140,7 +152,7 @@
         if words[0] == "drain":
             it.draining = True
             for front in self.fronts.values():
-                self.clock.after(self.network.delay(), front.hear, front.drains, name)
+                self.clock.after(self.network.delay(), front.hear, OTHER, front.drains, name)
         elif words[0] == "flush":
             it.flush()
         else:
@@ -150,7 +162,7 @@
         note = self.noter("conductor")
         note("killing", who=who)
         if who.startswith("front"):
-            self.fronts[who].alive = False
+            self.fronts[who].end()
             for held in self.fronts[who].desk.held.values():
                 if not held.settled:
                     held.client[0]("broke", mark=held.client[1], problem="reset")
@@ -173,32 +185,54 @@
 
     def stop(self, who: str) -> None:
         self.noter("conductor")("stopped", who=who)
-        self.fronts[who].stop()
+        front = self.fronts[who]
+        front.stop()
+        if self.router is not None and front.hall is not None:
+            # Its last keepalive left up to a third of the hold time ago.
+            hold = self.router.it.hold * SECOND
+            self.clock.after(int(hold * (1 - front.chance() / 3)), self.router.silent, front.hall)
 
     def go_on(self, who: str) -> None:
         self.noter("conductor")("goes-on", who=who)
-        self.fronts[who].go_on()
+        front = self.fronts[who]
+        front.go_on()
+        if self.router is not None and front.hall is not None:
+            self.router.goes_on(front.hall)
 
     def drain(self, who: str) -> None:
         self.noter("conductor")("drains", who=who)
+        self.fronts[who].drain()
+
+    def reload(self, who: str) -> None:
+        """Its file as it was: nothing changes, as in a played day."""
+        self.noter("conductor")("reloads", who=who)
+
+    def say(self, who: str, word: str) -> None:
+        """An operator's word on its announcements."""
+        hall = self.fronts[who].hall
+        if hall is not None:
+            hall.say(WORDS[word])
 
     # Clients.
 
     def ask(self, it: Try, number: int, note: Callable[..., None]) -> None:
         mark = f"{it.mark}r{number}" if number else it.mark
-        front = self.fronts[f"front-{it.front}"]
-        note("try", mark=mark, first=it.mark, front=it.front, type=it.type.name, effect=it.type.effect.value,
-             left_ms=it.left // MS, deferred=it.deferred, work_ms=it.work / MS, tenant=it.tenant,
-             quits=bool(it.quits_after))
-        if not front.alive:
+        n = it.front if self.router is None else self.router.steer()
+        note("try", mark=mark, first=it.mark, front=it.front if self.router is None else ANY,
+             type=it.type.name, effect=it.type.effect.value, left_ms=it.left // MS,
+             deferred=it.deferred, work_ms=it.work / MS, tenant=it.tenant, quits=bool(it.quits_after))
+        front = self.fronts.get(f"front-{n}")
+        if front is None or not front.alive or front.closing:
             note("broke", mark=mark, problem="refused")
             self.again(it, number, note, True)
             return
+        if front.hall is not None:
+            front.hall.arrivals.note(self.clock.now)
         # The mark and the true work travel as the call's own mark: the models read them, the decisions do not.
         known = self.day.told.function(it.function)
         call = Call(it.type.name, it.function, it.left, b"", it.tenant, f"{mark} {it.work}", it.hint,
                     known[0].lanes if known else 1, known[0].load_time if known else 0, number > 0)
-        self.clock.after(self.network.delay(), front.hear, front.take, call, (note, mark, it, number))
+        self.clock.after(self.network.delay(), front.hear, CALL, front.take, call, (note, mark, it, number, n))
         if it.quits_after:
             self.clock.after(it.quits_after, self.quit, front, mark, note)
 
@@ -206,7 +240,7 @@
         if mark in self.ended:
             return
         note("quit", mark=mark)
-        front.hear(self.leave, front, mark)
+        front.hear(OTHER, self.leave, front, mark)
 
     def leave(self, front: ModelFront, mark: str) -> None:
         held = next((each for each in front.desk.held.values() if each.client and each.client[1] == mark), None)
@@ -218,21 +252,23 @@
 
     def refused(self, client: tuple) -> None:
         """At the door, as its time was up before it was read."""
-        note, mark, it, number = client
+        note, mark, it, number, n = client
         self.ended.add(mark)
         note("answer", mark=mark, final=Final.REJECTED.value, status=503, may_have_run=False,
-             served_by=f"front-{it.front}")
+             served_by=f"front-{n}")
         self.again(it, number, note, True)
 
     def received(self, held: Held, client: tuple) -> None:
-        note, mark, it, number = client
+        note, mark, it, number, n = client
         self.ended.add(mark)
         answer = held.answer
         assert answer is not None
         note("answer", mark=mark, final=answer.final.value, status=200 if answer.final is Final.COMPLETED else 503,
-             may_have_run=answer.may_have_run, served_by=f"front-{it.front}")
+             may_have_run=answer.may_have_run, served_by=f"front-{n}")
         self.again(it, number, note, answer.final is Final.REJECTED
                    or answer.final is Final.ABORTED and it.type.effect is Effect.REPEATABLE)
+        if answer.final is Final.COMPLETED and it.chain:
+            self.clock.after(0, self.ask, follower(it), 0, note)
 
     def again(self, it: Try, number: int, note: Callable[..., None], wanted: bool) -> None:
         if wanted and number < it.traffic.retries and not it.quits_after:
--- a/threadshift/emulator/worker.py
+++ b/threadshift/emulator/worker.py
@@ -68,7 +68,7 @@
 
     # Calls.
 
-    def invoke(self, job: Job, hint: int) -> None:
+    def invoke(self, job: Job, hint: int, lanes: int) -> None:
         self.note("invoke", front=job.front, mark=job.mark, function=job.function, type="", effect=job.effect,
                   work_ms=hint / MS)
         self.push(hint / MS)
@@ -80,6 +80,7 @@
             return
         self.jobs[job] = None
         shelf = self.shelves.setdefault(job.function, Shelf())
+        shelf.lanes = lanes
         shelf.queue.append(job)
         self.serve(job.function, shelf, job)
 
--- a/threadshift/standins/clients.py
+++ b/threadshift/standins/clients.py
@@ -9,7 +9,7 @@
 
 from threadshift.conf.values import Address
 from threadshift.days.day import Day
-from threadshift.days.traffic import Try, tries
+from threadshift.days.traffic import ANY, Try, follower, tries
 from threadshift.interface import MS, SECOND, Effect
 from threadshift.invoke.client import Client, NoAnswer, Reply
 from threadshift.standins.common import Record
@@ -17,7 +17,6 @@
 OVERTIME = SECOND          # ns that a client waits past its time left, to see whether an answer still comes
 MOST = 5000                # tries under way; past it the machine, not the gateway, is what is measured
 BEAT = 0.02                # s; how often our own standstill is looked for
-ANY = -1                   # a front end that the router chose
 LONG_WAIT = 10             # s asked for at a time
 
 
@@ -50,16 +49,21 @@
             before = now
 
     def ask(self, it: Try) -> None:
-        """A first try and its repetitions, each a call of its own with a mark of its own."""
-        for number in range(it.traffic.retries + 1):
+        """A first try and its repetitions, each a call of its own with a mark of its own; then its chain."""
+        number = 0
+        while True:
             mark = f"{it.mark}r{number}" if number else it.mark
-            again = self.once(it, mark, number)
-            if not again or number == it.traffic.retries:
+            final, again = self.once(it, mark, number)
+            if final == "completed" and it.chain:
+                it, number = follower(it), 0
+            elif again and number < it.traffic.retries:
+                gevent.sleep((it.traffic.retry_after << number) / SECOND)
+                number += 1
+            else:
                 return
-            gevent.sleep((it.traffic.retry_after << number) / SECOND)
 
-    def once(self, it: Try, mark: str, number: int) -> bool:
-        """Whether trying again is harmless, and wanted."""
+    def once(self, it: Try, mark: str, number: int) -> tuple[str, bool]:
+        """The final answer, and whether trying again is harmless and wanted."""
         effect = it.type.effect
         routed = self.day.router is not None     # then a try has a connection of its own, steered by the router
         front = 0 if routed else it.front
@@ -76,10 +80,10 @@
         except gevent.Timeout:
             client.close()
             self.record.note("quit" if it.quits_after else "no-answer", mark=mark)
-            return False
+            return "", False
         except NoAnswer as problem:
             self.record.note("broke", mark=mark, problem=str(problem))
-            return effect is Effect.REPEATABLE or "refused" in str(problem)
+            return "", effect is Effect.REPEATABLE or "refused" in str(problem)
         if routed:
             client.close()
         else:
@@ -88,7 +92,7 @@
         ran = reply.status != 200 and b'"may-have-run": true' in reply.body
         self.record.note("answer", mark=mark, final=final, status=reply.status, may_have_run=ran,
                          served_by=reply.headers.get("activation", "").rsplit("-", 2)[0])
-        return final == "rejected" or final == "aborted" and effect is Effect.REPEATABLE
+        return final, final == "rejected" or final == "aborted" and effect is Effect.REPEATABLE
 
     def call(self, client: Client, it: Try, mark: str, number: int, start: int) -> Reply:
         body = json.dumps({"mark": mark, "work_ms": round(it.work / MS, 3)}, separators=(",", ":")).encode()
