SIGTERM while a child starts ends the daemon in order; halls do not fall after an overload

The log's thread did not block the supervisor's signals, so a SIGTERM that came while a child was being started ended the process without a drain: a test failed so now and then. Signals are held before any thread starts.

Emulation of three halls overloaded for a minute: after the burst, with traffic gone, two lowered their preference, as a mean over ten seconds looked easy while late answers still counted. The fullest second counts now; no route changes.

--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -111,9 +111,9 @@
         "## Calls lost or late around each cause, against baselines",
         "",
         "Days of 14 s with one cause at second 5, 12 workers, 70 calls/s (630 where overloaded); first tries of the "
-        f"6 s from the cause, {len({row['seed'] for row in rows})} seeds together. *Lost* is without a completed answer, "
-        "*late* past the target latency, repetitions by clients included. *Steered by* as above. Changes: the most "
-        "changes of standing that all front ends together announced on one day, 3 of them first announcements.",
+        f"6 s from the cause, {len({row['seed'] for row in rows})} seeds together. *Lost* is without a completed "
+        "answer, *late* past the target latency, repetitions by clients included. *Steered by* as above. Changes: "
+        "the most changes of standing that all front ends together announced on one day, 3 of them the first ones.",
         "",
         "| cause | steered by | calls | lost | late | changes | breaches |",
         "| --- | --- | --- | --- | --- | --- | --- |",
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -9,6 +9,7 @@
 from threadshift.days.day import KINDS, read_text
 from threadshift.emulator.clock import Clock, Spans
 from threadshift.emulator.front import ModelFront
+from threadshift.emulator.router import PREFIX
 from threadshift.emulator.run import Emulation
 from threadshift.interface import SECOND, Do, State, Step
 from threadshift.trials.hunt import emulate
@@ -172,6 +173,29 @@
             self.assertEqual(sum(line["e"] == "broke" for line in it.records["clients"]), 0, trouble)
             self.assertGreater(served, 0.97, trouble)
 
+    def test_two_of_three_halls_lost_leave_the_third_announced(self):
+        it, text = self.steered("routes", "front_kill at 3s for 7s front 0", "front_kill at 3s for 7s front 1",
+                                "burst at 3s for 7s times 4")
+        chosen = [(line["t"], line["routes"]["192.0.2.1/32"]) for line in it.records["router"]
+                  if line["e"] == "chosen"]
+        start = next(line["start"] for line in it.records["conductor"] if line["e"] == "day")
+        alone = [hops for t, hops in chosen if start + 3.5 * SECOND < t < start + 10 * SECOND]
+        third = str(it.fronts["front-2"].hall.hop)
+        self.assertEqual([hops for hops in alone if third not in hops], [])
+        self.assertEqual([str(each) for each in verdict(it, text)[0]], [])
+
+    def test_all_halls_overloaded_for_a_minute_change_no_route(self):
+        """Overload must not move traffic from hall to hall; what is lost is bounded by what the fleet can do."""
+        text = ROUTER.replace("STEER", "routes") + DAY.replace("length 12s", "length 64s") + (
+            "trouble burst at 2s for 60s times 8\n")
+        it = Emulation(read_text(text, seed=1), 1)
+        it.run()
+        start = next(line["start"] for line in it.records["conductor"] if line["e"] == "day")
+        self.assertEqual([line for line in it.records["router"] if line["e"] == "chosen" and line["t"] > start], [])
+        self.assertEqual({front.hall.announcer.held[PREFIX].changes for front in it.fronts.values()}, {1})
+        done = sum(line["e"] == "answer" and line["final"] == "completed" for line in it.records["clients"])
+        self.assertGreater(done / 64, 0.6 * 6 * 2 / 0.05)       # of six workers of two cores, 50 ms a call
+
     def test_one_that_stands_still_past_the_hold_time_loses_its_route_and_gets_it_back(self):
         it, _ = self.steered("routes", "balancer_stall at 3s for 2s front 0")
         hops = [line["routes"]["192.0.2.1/32"] for line in it.records["router"] if line["e"] == "chosen"]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -136,6 +136,11 @@
                 it = rig.start("front", "run", str(conf))
                 errors = Path(folder) / "front.err"
                 until(lambda: errors.exists() and errors.read_text().count("front-end-died") >= 3, 15)
+                # A thread that takes SIGTERM would end the process without a drain (a test that failed now and then).
+                for status in Path(f"/proc/{it.process.pid}/task").glob("*/status"):
+                    blocked = int(re.search(r"SigBlk:\s*(\w+)", status.read_text())[1], 16)
+                    main = status.parent.name == str(it.process.pid)        # it waits for signals, unblocked
+                    self.assertTrue(blocked >> signal.SIGTERM - 1 & 1 or main, status)
                 it.end()
                 self.assertEqual(it.process.returncode, 0)
                 pauses = [int(each) for each in re.findall(r'"again_ms": (\d+)', errors.read_text())]
--- a/threadshift/gateway/recent.py
+++ b/threadshift/gateway/recent.py
@@ -66,4 +66,8 @@
         return {name: Service(int(row[0]), row[1], row[2], int(row[3]), int(row[4])) for name, row in sums.items()}
 
     def per_second(self, now: int) -> float:
-        return sum(each.asked for each in self.service(now).values()) / BUCKETS
+        """Calls in the fullest second of those looked back on: what they were answered is judged by it, and a mean
+        that an overload has just left looks easy while its late answers still count (found by emulation: two of
+        three halls lowered their preference after a burst, when traffic had ended)."""
+        self.fade(now // SECOND)
+        return max((sum(row[0] for row in rows.values()) for _, rows in self.buckets), default=0.0)
--- a/threadshift/gateway/supervisor.py
+++ b/threadshift/gateway/supervisor.py
@@ -40,9 +40,14 @@
         self.children = [Child(index) for index in range(told.front_ends)]
         self.ending = 0            # when children that have not ended are killed, 0: not ending
 
+    @staticmethod
+    def hold_signals() -> None:
+        """Before any thread is started: one that takes signals, such as a log's, would be handed a SIGTERM that
+        comes while this one starts a child, and the process would end without a drain."""
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+
     def run(self) -> int:
         """Until told to end. Returns 0 when all ended by themselves, 1 when one had to be killed."""
-        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
         killed = False
         while True:
             now = time.monotonic_ns()
