--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -135,6 +135,9 @@
         command("trial", "chart", path, svg, "--across", "traffic check rate", "--lines", "policy")
         self.assertIn("<svg", Path(svg).read_text())
         self.assertIn("6 pairs", command("trial", "compare", path, "policy=threadshift", "policy=random").stdout)
+        day = command("trial", "day", path, "--where", "policy=random", "--seed", "2").stdout
+        self.assertIn("--seed 2, policy random", day)
+        self.assertEqual(read_text(day, seed=2).length, 3 * SECOND)
         commit = runs.commit()
         self.assertIn("12 pairs; A less B 0.000", command("trial", "compare", path, commit, commit).stdout)
         for words, problem in ((("trial", "table", path, "--by", "nothing"), "nothing called 'nothing'"),
@@ -142,6 +145,7 @@
                                (("trial", "table", str(self.file)), "not a database"),
                                (("trial", "run", "absent.trial"), "cannot be read"),
                                (("trial", "compare", path, "policy=oracle", "policy=random"), "no run of"),
+                               (("trial", "day", path, "--seed", "9"), "no run matches"),
                                (("trial", "worst", "--policy", "best"), "no policy 'best'")):
             found = command(*words)
             self.assertNotEqual(found.returncode, 0, words)
--- a/threadshift/audit/rules.py
+++ b/threadshift/audit/rules.py
@@ -204,13 +204,14 @@
     taken: dict[str, deque[int]] = defaultdict(deque)
     ordered: dict[str, deque[int]] = defaultdict(deque)
     served = {each["mark"]: each.facts.get("served_by", "") for each in by(seen, "answer")}
-    still = standstills(seen)
+    still, late = standstills(seen), late_readers(seen)
     for each in seen:
         if each.event == "try":
             front = f"front-{each['front']}" if each["front"] >= 0 else served.get(each["mark"], "")
             # What came while the front end stood still is taken when it goes on.
             taken[front].append(max([each.t, *(span.end - SLACK for span in still[front] if span.covers(each.t))]))
-        elif each.event == "hold":
+        elif each.event == "hold" and not any(span.covers(each.t) for span in late[each.source]):
+            # Orders that a cut or a standstill held up arrive together, which says nothing of when they left.
             front = each["front"]
             ordered[front].append(each.t)
             while ordered[front][0] <= each.t - it.load_window + SLACK:
--- a/threadshift/trials/commands.py
+++ b/threadshift/trials/commands.py
@@ -1,4 +1,4 @@
-"""The command line of trials: threadshift hunt, threadshift trial run | table | chart | compare | worst."""
+"""The command line of trials: threadshift hunt, threadshift trial run | table | chart | compare | day | worst."""
 from __future__ import annotations
 
 import os
@@ -161,6 +161,28 @@
     click.echo(f"{compared} (simulated)")
 
 
+@trial.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--where", multiple=True, help="FACTOR=VALUE; only runs with it.")
+@click.option("--seed", type=int, default=None)
+@MADE
+def day(file: str, where: tuple[str, ...], seed: int | None, made: str | None) -> None:
+    """Prints the day of the worst run in FILE that matches: a broken rule first, then the least utility in time. It
+    can be emulated and played."""
+    from threadshift.trials import figures
+    wanted = [each.partition("=")[::2] for each in where]
+    with told():
+        found = results(file, made)
+        known(found, [name for name, _ in wanted])
+    found = [each for each in found if seed in (None, each.seed)
+             and all(figures.value(each, name) == one for name, one in wanted)]
+    if not found:
+        raise SystemExit(f"threadshift: {file}: no run matches")
+    it = min(found, key=lambda each: (-each.breaches, each.ratio))
+    click.echo(f"# --seed {it.seed}, policy {it.policy}: utility in time over asked {it.ratio:.3f}, {it.breaches} "
+               f"breaches (simulated)\n{it.day}", nl=False)
+
+
 @trial.command()
 @click.option("--by", type=click.Choice(["rule", "utility", "regret"]), default="regret", show_default=True,
               help="A broken rule; the least utility in time; the most that an oracle did better.")
