--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -30,6 +30,7 @@
 KEPT = 3.0                 # calls by others, within the time an idle copy stays, that are taken to keep one
 REPORT_KEEP, FRESH_FOR = 3 * SECOND, 300 * MS      # a report counts so long; no new one is asked for so long
 WAITING, SILENT, PINNED = 2.0, 2.0, 10.0   # calls waiting that press; load if silent; calls that fill memory
+CORES_FREE = 0.9           # share of cores at work below which no call waits for one
 ASKS, ASK_WAIT, UNTOLD = 4, 30 * MS, 40    # stops asked a call; later, it is busy; so many told none: no more
 TURNS, GOLDEN = 1 << 20, 0.6180339887  # where front ends' turns begin, by chance; step, even at any length
 ROUND = 100 * MS           # period of the health round; a small part of any target latency in sight
@@ -445,6 +446,9 @@
         if (held := next((each for each in told if each is not None), None)) is None:
             return
         rate, loading = self.mean_size / worker.size, report.loading or 0.0
+        if report.busy is not None and report.busy < CORES_FREE:
+            # Cores are free, so who waits waits for a load, several behind each: not pressed by those.
+            loading = max(loading, report.waiting or 0.0)
         load, waits = (max(0.0, each - loading) * rate for each in (held, report.waiting or 0.0))
         part = min(1 + EPSILON, *(EASE * kind.target / kind.typical for kind in self.kinds.values()))
         worker.load, worker.told = max(load / max(1.0, self.mean_held * part), waits / WAITING), now
