--- a/benchmarks/experiments.py
+++ b/benchmarks/experiments.py
@@ -18,13 +18,13 @@
 HERE = Path(__file__).parent
 POLICIES = ("bounded-loads", "plain-hash", "least-in-flight", "power-of-two", "random", "oracle")
 CONSTANTS = "constant choice LOADS", "constant choice PARKED"
-SIZE = "front-ends, fleet-of, traffic check rate, traffic check functions"
+SIZE = "front-ends, fleet-of, traffic check rate, traffic check functions, store capacity"
 BUDGET = "constant choice BUDGET_SHARE, constant choice BUDGET_MOST"
 # scenario: its title, what its tables are grouped by, and its chart: across, one line each, measure
 SHOWN = {
     "policies": ("The policy against its baselines, 200 drawn days", [["policy"]], ("policy", None, "ratio")),
     "singles": ("Single troubles, and pairs", [["policy"], ["trouble", "policy"]], None),
-    "scale": ("Scale: front ends, workers, calls a second, functions", [[SIZE, "trouble", "policy"]],
+    "scale": ("Scale: front ends, workers, calls a second, functions, store", [[SIZE, "trouble", "policy"]],
               (SIZE, "policy", "ratio")),
     "retries": ("Retry storms", [["trouble", "traffic check retries", BUDGET]], ("trouble", BUDGET, "ratio")),
     "reports": ("How late reports of load may be", [["trouble", "fleet-of report-every"]],
