--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -451,7 +451,7 @@
             loading = max(loading, report.waiting or 0.0)
         load, waits = (max(0.0, each - loading) * rate for each in (held, report.waiting or 0.0))
         part = min(1 + EPSILON, *(EASE * kind.target / kind.typical for kind in self.kinds.values()))
-        worker.load, worker.told = max(load / max(1.0, self.mean_held * part), waits / WAITING), now
+        worker.load, worker.told = max(load / max(FIRST_LIMIT, self.mean_held * part), waits / WAITING), now
         self.mean_held += TREND * (load - self.mean_held)
 
     def ask(self, worker: Worker, act: Activation, now: int) -> bool:
