--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -31,6 +31,7 @@
 REPORT_KEEP, FRESH_FOR = 3 * SECOND, 300 * MS      # a report counts so long; no new one is asked for so long
 WAITING, SILENT, PINNED = 2.0, 2.0, 10.0   # calls waiting that press; load if silent; calls that fill memory
 CORES_FREE = 0.9           # share of cores at work below which no call waits for one
+HELD = 2.0                 # calls held, when told, that press no worker
 ASKS, ASK_WAIT, UNTOLD = 4, 30 * MS, 40    # stops asked a call; later, it is busy; so many told none: no more
 TURNS, GOLDEN = 1 << 20, 0.6180339887  # where front ends' turns begin, by chance; step, even at any length
 ROUND = 100 * MS           # period of the health round; a small part of any target latency in sight
@@ -451,7 +452,7 @@
             loading = max(loading, report.waiting or 0.0)
         load, waits = (max(0.0, each - loading) * rate for each in (held, report.waiting or 0.0))
         part = min(1 + EPSILON, *(EASE * kind.target / kind.typical for kind in self.kinds.values()))
-        worker.load, worker.told = max(load / max(FIRST_LIMIT, self.mean_held * part), waits / WAITING), now
+        worker.load, worker.told = max(load / max(HELD, self.mean_held * part), waits / WAITING), now
         self.mean_held += TREND * (load - self.mean_held)
 
     def ask(self, worker: Worker, act: Activation, now: int) -> bool:
