--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -7,7 +7,9 @@
 import time
 import unittest
 from pathlib import Path
+from unittest import mock
 
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -16,6 +18,7 @@
 from threadshift.conf.reading import Mistake
 from threadshift.interface import SECOND, Do, Effect, State, Step
 from threadshift.trials import figures, hunt, runs
+from threadshift.trials.commands import trial
 from threadshift.trials.keep import Kept, Result, Unusable
 from threadshift.trials.policies import POLICIES
 from threadshift.trials.scenario import read_text_of
@@ -152,6 +155,13 @@
             self.assertIn(problem, found.stderr)
             self.assertNotIn("Traceback", found.stderr)
 
+    def test_what_is_not_installed_is_named(self):
+        kept = self.kept("one.db")
+        runs.run(read_text_of(SMALL, "one.trial"), kept, 1, lambda *_: None)
+        with mock.patch.dict(sys.modules, {"scipy": None}):
+            found = CliRunner().invoke(trial, ["table", kept.path, "--by", "policy"])
+        self.assertEqual((found.exit_code, str(found.exception)[:28]), (1, "threadshift: this wants scip"))
+
     def test_a_file_of_another_form_is_not_touched(self):
         path = Path(self.folder.name) / "other.db"
         with sqlite3.connect(path) as db:
--- a/threadshift/trials/commands.py
+++ b/threadshift/trials/commands.py
@@ -31,6 +31,8 @@
         yield
     except (Mistake, Unusable) as problem:
         raise SystemExit(f"threadshift: {problem}") from None
+    except ModuleNotFoundError as missing:
+        raise SystemExit(f"threadshift: this wants {missing.name}: pip install 'threadshift[trials]'") from None
 
 
 def keep(found: Found, out: str | None) -> None:
