What stood twice is one piece: fitness of a fleet, tries of a call, words and times of halls

Read again as a whole. A front end and its model gathered fit workers and warmth in two texts, and the emulator kept its own copies of the operator's words and of the time between looks; both call gateway's now. The audit's and a benchmark's grouping of tries is one function. Whether a peer's refusal grows our pause is an argument, not state that could outlive the session it was about. Arguments that nobody read, and a method that only passed on, are gone.

--- a/benchmarks/bgp.py
+++ b/benchmarks/bgp.py
@@ -317,22 +317,16 @@
         seen = records.read(Path(folder) / "records")
         start = next(each["start"] for each in seen if each.event == "day")
         since = start + 5 * 10**9
-        finals = {each["mark"]: each for each in records.by(seen, "answer")}
         types = {each.name: each for each in days_of.read(f"{folder}/records/day.conf").told.deployment.types}
-        chains = {}
-        for each in records.by(seen, "try"):
-            chains.setdefault(each["first"], []).append(each)
         asked = lost = late = 0
-        for tries in chains.values():
+        for tries, done in records.chains(seen):
             if not since <= tries[0].t < since + WINDOW * 10**9:
                 continue
             asked += 1
-            done = [finals[one["mark"]].t for one in tries
-                    if one["mark"] in finals and finals[one["mark"]]["final"] == "completed"]
-            lost += not done
-            late += bool(done) and min(done) - tries[0].t > types[tries[0]["type"]].target_latency
-        changes = sum(line.count('"event": "announcement"') + line.count('"announcement"') > 0
-                      for file in Path(folder, "records").glob("front-*.err") for line in file.open())
+            lost += done is None
+            late += done is not None and done - tries[0].t > types[tries[0]["type"]].target_latency
+        changes = sum('"announcement"' in line for file in Path(folder, "records").glob("front-*.err")
+                      for line in file.open())
         return {"cause": cause, "steer": steer, "seed": seed, "asked": asked, "lost": lost, "late": late,
                 "changes": changes, "breaches": int(re.search(r"breaches (\d+)", it.stdout)[1])}
 
--- a/threadshift/audit/records.py
+++ b/threadshift/audit/records.py
@@ -3,6 +3,7 @@
 
 import json
 from collections import defaultdict
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -50,6 +51,17 @@
     return [each for each in seen if each.event in events]
 
 
+def chains(seen: list[Seen]) -> Iterator[tuple[list[Seen], int | None]]:
+    """Each call's tries, the first one first, and when any of them was first completed; None where none was."""
+    found: dict[str, list[Seen]] = defaultdict(list)
+    finals = {each["mark"]: each for each in by(seen, "answer")}
+    completed = {mark: each.t for mark, each in finals.items() if each["final"] == "completed"}
+    for each in by(seen, "try"):
+        found[each["first"]].append(each)
+    for tries in found.values():
+        yield tries, min((completed[one["mark"]] for one in tries if one["mark"] in completed), default=None)
+
+
 def by_mark(seen: list[Seen]) -> dict[str, list[Seen]]:
     found = defaultdict(list)
     for each in seen:
--- a/threadshift/audit/report.py
+++ b/threadshift/audit/report.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from threadshift.audit.records import Seen, by, read
+from threadshift.audit.records import Seen, by, chains, read
 from threadshift.audit.rules import Breach, breaches
 from threadshift.days import day as days
 from threadshift.days.day import Day
@@ -49,19 +49,13 @@
     """Utility asked for by first tries that did not quit, and what their tries got in time."""
     types = {each.name: each for each in it.types}
     asked = in_time = 0.0
-    chains: dict[str, list[Seen]] = {}
-    finals = {each["mark"]: each for each in by(seen, "answer")}
-    for each in by(seen, "try"):
-        chains.setdefault(each["first"], []).append(each)
-    for tries in chains.values():
+    for tries, done in chains(seen):
         if tries[0]["quits"]:
             continue
         type_ = types[tries[0]["type"]]
         asked += type_.utility
-        done = [finals[one["mark"]].t for one in tries
-                if one["mark"] in finals and finals[one["mark"]]["final"] == "completed"]
-        if done:
-            in_time += type_.utility * (1 if min(done) - tries[0].t <= type_.target_latency else type_.late_utility)
+        if done is not None:
+            in_time += type_.utility * (1 if done - tries[0].t <= type_.target_latency else type_.late_utility)
     return asked, in_time
 
 
--- a/threadshift/bgp/session.py
+++ b/threadshift/bgp/session.py
@@ -223,8 +223,8 @@
         reason = codec.read_reason(data) if code == codec.CEASE and subcode in (
             codec.ADMIN_SHUTDOWN, codec.ADMIN_RESET) else ""
         self.reader.ended = True
-        self.neighbour.not_yet = code == codec.CEASE and subcode in NOT_YET
-        self.end(f"the peer says error {code}/{subcode}{': ' + reason if reason else ''}")
+        self.end(f"the peer says error {code}/{subcode}{': ' + reason if reason else ''}",
+                 damped=code != codec.CEASE or subcode not in NOT_YET)
 
     def update(self) -> None:
         """What every UPDATE does, whatever it says."""
@@ -271,12 +271,12 @@
         self.state = State.IDLE
         self.wire.close()
 
-    def end(self, why: str, failed: bool = True) -> None:
+    def end(self, why: str, failed: bool = True, damped: bool = True) -> None:
         was = self.state
         self.timers.clear()
         self.state = State.IDLE
         self.wire.close()
-        self.neighbour.ended(self, was, why, failed)
+        self.neighbour.ended(self, was, why, failed, damped)
 
     def enter(self, state: State) -> None:
         self.state = state
@@ -293,7 +293,6 @@
         self.wanted = False
         self.idle_until: int | None = None
         self.pause = 0
-        self.not_yet = False             # the peer only asked us to come back
         self.since = 0                   # established since, 0: not
         self.now = 0
         self.last = ""                   # why the last session ended
@@ -387,7 +386,8 @@
         self.since, self.ups = session.now, self.ups + 1
         self.routes.up(session.now, self)
 
-    def ended(self, session: Session, was: State, why: str, failed: bool) -> None:
+    def ended(self, session: Session, was: State, why: str, failed: bool, damped: bool) -> None:
+        """`damped`: whether our pause grows by it."""
         self.now, self.last = session.now, why
         if session is self.second:
             self.second = None
@@ -402,8 +402,7 @@
             self.session, self.second = self.second, None       # the other connection goes on alone
             return
         if failed and self.wanted and self.idle_until is None:
-            self.pause = max(FIRST_IDLE, self.pause if self.not_yet else min(MOST_IDLE, 2 * self.pause))
-            self.not_yet = False
+            self.pause = max(FIRST_IDLE, min(MOST_IDLE, 2 * self.pause) if damped else self.pause)
             self.idle_until = session.now + int(self.pause * (1 - JITTER * self.chance()))
 
     def renew(self) -> None:
--- a/threadshift/cli.py
+++ b/threadshift/cli.py
@@ -385,10 +385,9 @@
 @KEEP
 def emulate(day: str, seed: int, folder: str | None) -> None:
     """Emulates a DAY file on a virtual clock, with the real desk and decisions, and audits it."""
-    import tempfile
     from pathlib import Path
 
-    from threadshift.audit.report import audit as audited
+    from threadshift.audit.report import judge
     from threadshift.days import day as days
     from threadshift.days.play import clear
     from threadshift.emulator.run import Emulation
@@ -402,11 +401,10 @@
     began = time.monotonic()
     it.run()
     took = time.monotonic() - began
-    with tempfile.TemporaryDirectory(prefix="threadshift-day-") as scratch:
-        place = Path(folder or scratch)
-        clear(place)
-        it.write(place, text)
-        verdict = audited(place)
+    if folder:
+        clear(Path(folder))
+        it.write(Path(folder), text)
+    verdict = judge(it.day, it.seen())
     for breach in verdict.breaches:
         click.echo(str(breach))
     click.echo(f"seed {seed} {verdict.line} (simulated, {it.clock.played} events in {took:.1f} s)")
--- a/threadshift/emulator/front.py
+++ b/threadshift/emulator/front.py
@@ -19,7 +19,7 @@
 from threadshift.desk.desk import Asked, Call, Desk, Held
 from threadshift.emulator.clock import Clock
 from threadshift.emulator.network import Network
-from threadshift.emulator.worker import Job, ModelWorker
+from threadshift.emulator.worker import Job
 from threadshift.interface import Copy, Deployment, Outcome, Report
 from threadshift.invoke.admission import PERIOD, Admission
 from threadshift.links.redial import Redial
@@ -69,9 +69,7 @@
     # The one timer.
 
     def tick(self) -> None:
-        if not self.alive:
-            return
-        if self.backlog is not None:
+        if not self.alive or self.backlog is not None:
             return
         if self.desk.due() <= self.clock.now:
             self.desk.tick(self.clock.now)
@@ -185,7 +183,7 @@
             self.hall.router.lost(self.hall)
 
     def linked(self, worker: str) -> bool:
-        it = self.network.reach(self.name, self.zone, worker)
+        it = self.network.reach(worker)
         return it is not None and self.clock.now >= self.not_before.get(worker, 0)
 
     def answered(self, held: Held) -> None:
@@ -201,7 +199,7 @@
     # The desk's port to workers.
 
     def send(self, worker: str, held: Held, number: int) -> Outcome | None:
-        it = self.network.reach(self.name, self.zone, worker)
+        it = self.network.reach(worker)
         if it is None or self.clock.now < self.not_before.get(worker, 0):
             return self.refused(worker)
         key = (held, number)
@@ -210,13 +208,9 @@
         job = Job(self.name, mark, held.call.function, held.act.kind.effect.value, int(work), held.deadline,
                   lambda outcome, copy, report: self.network.back(self, it, self.replied, worker, key, outcome, copy,
                                                                   report))
-        self.network.forth(self, it, self.deliver, it, job, held.call.work, max(1, held.call.lanes))
+        self.network.forth(self, it, it.invoke, job, held.call.work, max(1, held.call.lanes))
         return None
 
-    @staticmethod
-    def deliver(it: ModelWorker, job: Job, hint: int, lanes: int) -> None:
-        it.invoke(job, hint, lanes)
-
     def replied(self, worker: str, key: tuple, outcome: Outcome | None, copy: Copy, report: Report | None) -> None:
         if outcome is None:
             self.broke(worker)
@@ -249,7 +243,7 @@
         return Outcome.CANCELLED
 
     def hold(self, worker: str, order: Asked) -> Outcome | None:
-        it = self.network.reach(self.name, self.zone, worker)
+        it = self.network.reach(worker)
         if it is None:
             return self.refused(worker)
         self.out.setdefault(worker, {})[order] = None
@@ -262,7 +256,7 @@
         order.answered(self.clock.now, outcome, copies=copies)
 
     def ask(self, worker: str, question: Asked) -> Outcome | None:
-        it = self.network.reach(self.name, self.zone, worker)
+        it = self.network.reach(worker)
         if it is None:
             return self.refused(worker)
         self.out.setdefault(worker, {})[question] = None
--- a/threadshift/emulator/network.py
+++ b/threadshift/emulator/network.py
@@ -26,7 +26,7 @@
         self.workers: dict[str, ModelWorker] = {}
         self.fronts: dict[str, ModelFront] = {}
 
-    def reach(self, front: str, zone: str, worker: str) -> ModelWorker | None:
+    def reach(self, worker: str) -> ModelWorker | None:
         it = self.workers.get(worker)
         return it if it is not None and it.alive else None
 
--- a/threadshift/emulator/router.py
+++ b/threadshift/emulator/router.py
@@ -16,14 +16,15 @@
 from threadshift.days.day import RouterOf
 from threadshift.days.play import FIRST_AS, SERVICE
 from threadshift.emulator.clock import Clock
+from threadshift.gateway.fitness import fitness
+from threadshift.gateway.hall import EVERY
 from threadshift.gateway.recent import Arrivals, Recent
-from threadshift.interface import MS, SECOND
+from threadshift.interface import SECOND
 from threadshift.standins.router import Router
 
 if TYPE_CHECKING:
     from threadshift.emulator.front import ModelFront
 
-EVERY = 50 * MS            # between two looks of a hall at its signs; as in gateway/hall.py
 AGAIN = SECOND             # until a session that was lost stands again; the least pause after a failure
 PREFIX = ipaddress.ip_network(SERVICE)
 
@@ -61,12 +62,10 @@
 
     def signs(self, now: int) -> Signs:
         """As gateway/hall.py gathers them; connections to workers stand unless a dial just failed."""
-        front, dispatcher = self.front, self.front.desk.dispatcher
-        ready = [worker for worker in dispatcher.workers.values() if worker.ready]
-        fit = [worker for worker in ready if worker.until <= now and front.linked(worker.name)]
+        front = self.front
         return Signs(
-            listening=not front.closing, lag=int(front.admission.lag), workers=len(ready), fit=len(fit),
-            warmth=sum(dispatcher.age(worker, now) for worker in fit) / len(fit) if fit else 0.0,
+            listening=not front.closing, lag=int(front.admission.lag),
+            **fitness(front.desk.dispatcher, front.linked, now)._asdict(),
             asked_per_s=self.recent.per_second(now), refused=front.admission.part, service=self.recent.service(now),
             drain=self.drain.standing)
 
--- a/threadshift/emulator/run.py
+++ b/threadshift/emulator/run.py
@@ -14,19 +14,18 @@
 from threadshift.days.traffic import ANY, Try, follower, tries
 from threadshift.desk.desk import Call, Final, Held
 from threadshift.emulator.clock import Clock
-from threadshift.bgp.announce import Standing
 from threadshift.choice import Dispatcher
 from threadshift.emulator.front import CALL, ModelFront, Policy
 from threadshift.emulator.network import OTHER, Network
 from threadshift.emulator.router import ModelHall, ModelRouter
 from threadshift.emulator.store import MB, ModelStore
 from threadshift.emulator.worker import ModelWorker
+from threadshift.gateway.hall import WORDS
 from threadshift.interface import MS, SECOND, Effect, State
 from threadshift.roster.membership import Entry
 from threadshift.standins.worker import Machine
 
 START = 1_000 * SECOND     # virtual; times of 0 mean "never" in many places
-WORDS = {"withdraw": Standing.WITHDRAWN, "last-resort": Standing.LAST, "auto": None}
 OVERTIME = SECOND          # that clients wait past their time left, as the stand-in's do
 
 
--- a/threadshift/gateway/hall.py
+++ b/threadshift/gateway/hall.py
@@ -11,6 +11,7 @@
 from threadshift.bgp.path import Capabilities, Family, Path, Prefix
 from threadshift.bgp.session import Them, Us
 from threadshift.bgp.speaker import PeerAddress, Speaker
+from threadshift.gateway.fitness import fitness
 from threadshift.interface import MS
 
 if TYPE_CHECKING:
@@ -65,14 +66,11 @@
 
     def signs(self, now: int) -> Signs:
         """What this front end knows of itself."""
-        front, dispatcher = self.front, self.front.desk.dispatcher
-        ready = [worker for worker in dispatcher.workers.values() if worker.ready]
-        fit = [worker for worker in ready if worker.until <= now and worker.name in front.links
-               and front.links[worker.name].up]
+        front = self.front
+        fleet = fitness(front.desk.dispatcher, lambda name: name in front.links and front.links[name].up, now)
         return Signs(
             listening=all(sock.fileno() >= 0 for sock in front.listeners), lag=int(front.admission.lag),
-            roster_age=now - front.roster_said if front.roster_lost else 0, workers=len(ready), fit=len(fit),
-            warmth=sum(dispatcher.age(worker, now) for worker in fit) / len(fit) if fit else 0.0,
+            roster_age=now - front.roster_said if front.roster_lost else 0, **fleet._asdict(),
             asked_per_s=front.recent.per_second(now), refused=front.admission.part,
             service=front.recent.service(now), drain=self.drain.standing)
 
--- a/threadshift/packs/journal.py
+++ b/threadshift/packs/journal.py
@@ -47,11 +47,13 @@
     at = start
     while at < len(data):
         rest = data[at:at + WHOLE]
-        if len(data[at:].rstrip(b"\0")) < WHOLE and len(rest) < WHOLE or not any(data[at + WHOLE - 1:]):
-            return                          # a part of a header, and zeros where nothing was written yet
+        if len(rest) < WHOLE:
+            return                          # a part of a header
         head, (check,) = rest[:HEADER.size], CHECK.unpack(rest[HEADER.size:])
         magic, length, crc = HEADER.unpack(head)
         if magic != MAGIC or zlib.crc32(head) != check or length > LONGEST:
+            if not any(data[at + WHOLE - 1:]):
+                return                      # a part of a header, and zeros where nothing was written yet
             raise Damaged(f"{file}: no record begins at byte {at}")
         end = at + WHOLE + length
         payload = data[at + WHOLE:end]
--- a/threadshift/trials/commands.py
+++ b/threadshift/trials/commands.py
@@ -56,7 +56,7 @@
         if found.breaches:
             bad += 1
             click.echo(f"seed {found.seed}: {found.breaches[0]}")
-            keep(hunting.shrink(found, hunting.breaks(found.breaches[0].split(":")[0])), out)
+            keep(hunting.shrink(found, hunting.breaks(found.rule)), out)
     assert worst is not None
     click.echo(f"{days} days drawn, {bad} with a broken rule; least utility in time over asked "
                f"{worst.ratio:.3f} on seed {worst.seed} (simulated)")
@@ -84,8 +84,9 @@
                 bar.length = of
                 bar.update(count - bar.pos)
             made = runs.run(it, kept, processes, done)
-        broken = sum(each.breaches > 0 for each in kept.results())
-        click.echo(f"{made} run now, {len(list(kept.results()))} kept in {kept.path}; {broken} with a broken rule "
+        found = list(kept.results())
+        broken = sum(each.breaches > 0 for each in found)
+        click.echo(f"{made} run now, {len(found)} kept in {kept.path}; {broken} with a broken rule "
                    "(simulated)")
         kept.close()
     sys.exit(1 if broken else 0)
@@ -103,7 +104,8 @@
 
 def known(found: list[Result], factors: list[str]) -> list[str]:
     """Checks names of factors against what was swept."""
-    names = [*found[0].point, "policy", "seed", "fronts", "workers"]
+    from threadshift.trials.figures import ALWAYS
+    names = [*found[0].point, *ALWAYS]
     for each in factors:
         if each not in names:
             raise SystemExit(f"threadshift: nothing called '{each}' was swept; there are {', '.join(names)}")
@@ -210,7 +212,7 @@
     click.echo(f"seed {found.seed}: {by} {badness(found):.3f}, utility in time over asked {found.ratio:.3f}"
                + "".join(f"\n  {each}" for each in found.breaches[:3]))
     if by == "rule":
-        least = hunting.shrink(found, hunting.breaks(found.breaches[0].split(":")[0]), ours)
+        least = hunting.shrink(found, hunting.breaks(found.rule), ours)
     else:
         bar = 0.8 * badness(found)
         least = hunting.shrink(found, lambda less: badness(less) >= bar, ours, against)
--- a/threadshift/trials/figures.py
+++ b/threadshift/trials/figures.py
@@ -10,6 +10,7 @@
 from threadshift.trials.keep import Result
 
 SURE = 0.95                # confidence of intervals
+ALWAYS = ("policy", "seed", "fronts", "workers")      # known of every run, swept or not
 RESAMPLES = 2_000          # bootstrap draws: the ends of an interval are good to a few percent of its width
 
 
@@ -54,10 +55,10 @@
 
 
 def value(result: Result, factor: str) -> str:
-    """A factor's value in one run; 'policy', 'seed', 'fronts' and 'workers' are known of every run."""
+    """A factor's value in one run. Raises KeyError."""
     if factor in result.point:
         return result.point[factor]
-    if factor in ("policy", "seed", "fronts", "workers"):
+    if factor in ALWAYS:
         return str(getattr(result, factor))
     raise KeyError(factor)
 
--- a/threadshift/trials/hunt.py
+++ b/threadshift/trials/hunt.py
@@ -100,6 +100,11 @@
     ratio: float             # utility in time over asked
     regret: float = 0.0      # by how much an oracle did better on the same day, where that was asked for
 
+    @property
+    def rule(self) -> str:
+        """The first that broke, such as 'rule 2'. There must be one."""
+        return self.breaches[0].split(":")[0]
+
 
 def draw(seed: int) -> str:
     """A day's text."""
