--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -3,8 +3,9 @@
 import sys
 import unittest
 
-from threadshift.adapter.codec import Malformed, frames, to_ms, to_ns
+from threadshift.adapter.codec import frames, to_ms
 from threadshift.adapter.host import Host
+from threadshift.conf.settings import Malformed, to_ns
 
 START = ("START i=0 entropy=7 lanes.count=1 lanes.0.name=qty lanes.0.aim=600.0 lanes.0.giveUp=2500.0 "
          "lanes.0.effect=safe lanes.0.worth=1.0 peersTotal=1 tick=4.0 limits.maxAttempts=4 "
--- a/threadshift/adapter/codec.py
+++ b/threadshift/adapter/codec.py
@@ -1,20 +1,13 @@
 """Wire text to plain fields and back. The wire's names and milliseconds stay in this package."""
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import TextIO
 
+from threadshift.conf.settings import Fields, Malformed
 from threadshift.interface import MS
 
 
-class Malformed(Exception):
-    """Input that is no frame; says what is wrong with which line."""
-
-
-def to_ns(text: str) -> int:
-    return round(float(text) * MS)
-
-
 def to_ms(ns: int) -> str:
     return f"{ns / MS:.6f}".rstrip("0").rstrip(".")
 
@@ -29,40 +22,6 @@
     return found
 
 
-class Fields:
-    """The named parts of one line, read by type; what is absent or malformed is reported by line."""
-
-    def __init__(self, word: str, values: dict[str, str], line: int):
-        self.word, self.values, self.line = word, values, line
-
-    def read(self, name: str, convert: Callable, default=None):
-        text = self.values.get(name)
-        if text is None:
-            if default is None:
-                raise Malformed(f"line {self.line}: {self.word} lacks {name}")
-            return default
-        try:
-            return convert(text)
-        except (ValueError, KeyError, OverflowError):
-            wrong = f"line {self.line}: {self.word} has {name}={text}, which does not parse"
-            raise Malformed(wrong) from None
-
-    def text(self, name: str, default: str | None = None) -> str:
-        return self.read(name, str, default)
-
-    def whole(self, name: str, default: int | None = None) -> int:
-        return self.read(name, int, default)
-
-    def number(self, name: str, default: float | None = None) -> float:
-        return self.read(name, float, default)
-
-    def ns(self, name: str, default: int | None = None) -> int:
-        return self.read(name, to_ns, default)
-
-    def flag(self, name: str, default: bool | None = None) -> bool:
-        return self.read(name, {"0": False, "1": True, "false": False, "true": True}.__getitem__, default)
-
-
 class Frame:
     """One batch: its number, its clock and its event lines."""
 
--- a/threadshift/adapter/host.py
+++ b/threadshift/adapter/host.py
@@ -4,93 +4,27 @@
 import sys
 import traceback
 
-from threadshift.adapter.codec import Fields, Frame, Malformed, line, to_ms
+from threadshift.adapter.codec import Frame, line, to_ms
 from threadshift.choice import Dispatcher
-from threadshift.interface import (
-    MS,
-    Copy,
-    Deployment,
-    Do,
-    Effect,
-    Listing,
-    NamespaceType,
-    Outcome,
-    Report,
-    State,
-    Step,
-    Tenant,
-)
+from threadshift.conf.settings import Fields, Malformed, deployment, report
+from threadshift.interface import MS, Copy, Do, Listing, Outcome, State, Step
 
 OUTCOMES = dict(enumerate((
     Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT, Outcome.UNREACHABLE,
     Outcome.RESET, Outcome.CANCELLED, Outcome.MOOT, Outcome.MISS)))
 STATES = {0: State.GONE, 1: State.READY, 2: State.DRAINING}
-EFFECTS = {"safe": Effect.REPEATABLE, "keyed": Effect.DEDUPLICATED, "unsafe": Effect.ONCE_ONLY}
 COPIES = {0: Copy.UNTOLD, 1: Copy.FOUND, 2: Copy.BEGAN, 3: Copy.WAITED, 4: Copy.LOAD_FAILED}
 FAILED_LIST = 3
 LONGEST_REMINDER = 70 * 60 * 1000 * MS
 LOG_WORDS = str.maketrans("\r\n", "  ")
 
 
-def deployment(start: Fields) -> Deployment:
-    """The settings of a START line in the project's terms."""
-    def lane(n: int) -> NamespaceType:
-        at = f"lanes.{n}."
-        return NamespaceType(
-            start.text(at + "name"), start.ns(at + "aim"), start.ns(at + "giveUp"),
-            start.number(at + "worth"), start.number(at + "lateValue", 0.0),
-            start.read(at + "effect", EFFECTS.__getitem__), start.text(at + "group", "all"),
-            start.ns(at + "memorySpan", 0))
-
-    def org(n: int) -> Tenant:
-        at = f"orgs.{n}."
-        return Tenant(start.text(at + "name"), start.number(at + "share", 0.0),
-                      start.number(at + "quotaPerS", 0.0))
-
-    return Deployment(
-        types=tuple(lane(n) for n in range(start.whole("lanes.count"))),
-        tenants=tuple(org(n) for n in range(start.whole("orgs.count", 0))),
-        front_ends=start.whole("peersTotal", 1),
-        zone=start.text("zone", ""),
-        tick=start.ns("tick", MS),
-        max_sends=start.whole("limits.maxAttempts", 1),
-        may_cancel=start.flag("limits.cancel", False),
-        may_duplicate=start.flag("limits.mayDuplicate", False),
-        may_probe=start.flag("limits.probes", False),
-        may_order=start.flag("familyInfo.placementCalls", False),
-        longest_advice=start.ns("limits.maxRetryAfter", 0) if start.flag("limits.retryAfter", False) else 0,
-        loads_on_miss=start.text("familyInfo.notLoaded", "load") == "load",
-        idle_keep=start.ns("familyInfo.staysLoaded", 0),
-        load_window=start.ns("familyInfo.loadWindow", 0),
-        load_free=start.number("familyInfo.loadFree", 0.0),
-        load_ratio=start.number("familyInfo.loadRatio", 0.0),
-        drain_grace=start.ns("rules.drainGrace", 0),
-        cold_share=start.number("rules.coldShare", 1.0),
-        cold_time=start.ns("rules.cold", 0),
-        fall_multiple=start.number("rules.fallMultiple", 1.0),
-        fall_time=start.ns("rules.overloadFor", 0),
-    )
-
-
 def listing(row: Fields) -> Listing:
     return Listing(row.text("worker"), row.read("mode", lambda text: STATES[int(text)]),
                    row.text("rackZone", ""), row.whole("cluster", 0), row.ns("onlineSince", 0),
                    row.number("powerHint", 1.0))
 
 
-def report(event: Fields) -> Report | None:
-    """The load report that came along, if any; values that it doesn't tell, or not as numbers, are None."""
-    told = {}
-    for part in event.text("usage", "").split(","):
-        name, _, value = part.partition(":")
-        try:
-            told[name] = float(value)
-        except ValueError:
-            continue
-    return Report(told.get("backlog"), told.get("outstanding"), told.get("utilization"),
-                  told.get("x1"), told.get("x0")) if told else None
-
-
 def outcome(event: Fields) -> Outcome:
     return event.read("outcome", lambda text: OUTCOMES[int(text)])
 
@@ -125,7 +59,8 @@
                 now, event.text("worker"), event.text("fn"), outcome(event),
                 event.whole("instances", 0))
         if word == "STATUS_BACK":
-            return self.dispatcher.told(now, event.text("worker"), outcome(event), report(event))
+            return self.dispatcher.told(
+                now, event.text("worker"), outcome(event), report(event.text("usage", ""), ","))
         if word == "HEADERS":
             act = self.acts.get(event.text("id"))
             return act.streaming(now, event.whole("go")) if act else []
@@ -155,7 +90,7 @@
         return self.closed(act, act.returned(
             now, event.whole("go"), outcome(event), event.ns("waitTime", 0),
             copy=COPIES.get(event.whole("info", 0) % 8, Copy.UNTOLD), final=event.flag("final", False),
-            report=report(event)))
+            report=report(event.text("usage", ""), ",")))
 
     def closed(self, act, steps: list[Step]) -> list[Step]:
         """The steps, with the handle let go once nothing more can come for it."""
--- a/threadshift/cli.py
+++ b/threadshift/cli.py
@@ -3,6 +3,7 @@
 
 import gc
 import json
+import os
 import signal
 import sys
 import time
@@ -69,6 +70,13 @@
         log.close()
 
 
+@main.command()
+def node() -> None:
+    """Runs one front end on the platform, by NODE_CONFIG in the environment."""
+    from threadshift.node.start import main as start
+    sys.exit(start(os.environ))
+
+
 @main.command("front-end", hidden=True)
 @click.argument("file", type=click.Path())
 @click.option("--index", type=int, default=0)
--- /dev/null
+++ b/threadshift/fastcgi/door.py
@@ -0,0 +1,363 @@
+"""Clients' connections: FastCGI records to calls on the desk, final answers back under their numbers.
+
+One greenlet a connection reads; answers are written by whoever brings them, and by a greenlet of its own only while a
+client does not take them. Who is kept and for how long is decided in room.py, who is let in in invoke/admission.py.
+"""
+from __future__ import annotations
+
+import time
+import traceback
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.pool import Group
+
+from threadshift.desk.desk import Desk, Held
+from threadshift.fastcgi import codec, requests, room
+from threadshift.fastcgi.codec import ABORT, BEGIN, GET_VALUES, PARAMS, STDIN, Records, Refused
+from threadshift.fastcgi.requests import LONGEST_BODY, LONGEST_PARAMS, Unfit
+from threadshift.interface import MS, SECOND, NamespaceType
+from threadshift.invoke.admission import Admission
+from threadshift.invoke.looks import SETTLE, STALL, Looks
+from threadshift.invoke.tally import Tally
+from threadshift.links.outbox import Outbox
+from threadshift.links.sockets import arriving, write_now, write_out
+
+READ = 16 << 10            # bytes a read: several usual requests, and little memory a connection
+WRITE = 2 * SECOND         # without progress, until a client that takes no answer is cut off
+BUFFER = 1 << 20           # bytes of answers that wait for one client; its open requests' usual answers fit
+MOST_OPEN = 32             # requests on one connection; the protocol's bound
+DROPPED = 256 << 10        # bytes for requests that have ended, until the connection is closed
+LOOK = 100 * MS            # between two looks at all limits; they are of seconds
+ROOM_WAIT = 2 * MS         # for connections that make room to end
+PROMPT = 50 * MS           # from accepting to the first bytes: what comes so soon came with the connection
+
+MANY = requests.busy("too many requests on one connection", 0)
+CLOSING, LATE, FULL, OVERLOADED = "closing", "too-late", "too-many-activations", "overloaded"
+
+
+class Request:
+    """One request under way: being read, then held by the desk."""
+
+    __slots__ = ("connection", "number", "keep", "began", "params", "body", "told", "held")
+
+    def __init__(self, connection: Connection, number: int, keep: bool, began: int):
+        self.connection, self.number, self.keep, self.began = connection, number, keep, began
+        self.params, self.body = b"", b""
+        self.told: dict[bytes, str] | None = None       # its parameters, once they are whole
+        self.held: Any = None                           # the activation; True while it is being taken
+
+    def respond(self, content: bytes, status: int = codec.COMPLETE) -> None:
+        self.connection.respond(self, content, status)
+
+
+class Connection:
+    """One client connection."""
+
+    def __init__(self, sock: socket.socket, door: Door, unread: int):
+        self.sock, self.door, self.unread = sock, door, unread
+        self.accepted = self.active = time.monotonic_ns()
+        self.limit = self.accepted + room.FIRST
+        self.open: dict[int, Request] = {}
+        self.outbox = Outbox(BUFFER)
+        self.writer: gevent.Greenlet | None = None
+        self.answered = self.last = False
+        self.offences = self.dropped = 0
+
+    @property
+    def busy(self) -> bool:
+        return bool(self.open) or bool(self.outbox.size)
+
+    def serve(self) -> None:
+        """Reads until the end. Returns with the connection closed and nothing of it held."""
+        records = Records()
+        try:
+            while not self.last or self.open:
+                try:
+                    data = self.sock.recv(READ)
+                except TimeoutError:
+                    continue            # a writer's limit, which stands on the socket; reading has none
+                if not data:
+                    return
+                now = self.active = time.monotonic_ns()
+                if self.unread and now - self.accepted > PROMPT:
+                    self.unread = 0     # it was sent later
+                offences = self.offences
+                for kind, number, content in records.feed(data):
+                    self.hear(kind, number, content)
+                if self.offences > offences:
+                    gevent.sleep(room.pause(self.offences) / SECOND)
+        except Refused as problem:
+            self.door.tally.note(time.monotonic_ns(), "unreadable")
+            self.door.note("unreadable", level="debug", problem=str(problem))
+            self.offences += 1
+            self.give_up_all()
+            gevent.sleep(room.LINGER / SECOND)
+        except OSError:
+            pass
+        finally:
+            self.give_up_all()
+            if self.writer is not None:
+                self.writer.join(WRITE / SECOND)
+            self.sock.close()
+
+    def give_up_all(self) -> None:
+        """The client is gone, or is to go: nothing is owed to it any more."""
+        gone, self.open = list(self.open.values()), {}
+        for request in gone:
+            self.let_go(request)
+
+    def let_go(self, request: Request) -> None:
+        if isinstance(request.held, Held) and not request.held.settled:
+            request.held.left(time.monotonic_ns())
+
+    def hear(self, kind: int, number: int, content: bytes) -> None:
+        """One record. Raises Refused."""
+        if number == 0:
+            if kind == GET_VALUES:
+                self.put(codec.values(content, self.door.most, MOST_OPEN))
+                self.offences += 1      # nobody needs it twice; asked again and again, it is answered slowly
+            elif kind in (BEGIN, ABORT, PARAMS, STDIN):
+                raise Refused(f"type {kind} under number 0")
+            else:
+                self.put(codec.unknown(kind))
+                self.offences += 1
+            return
+        request = self.open.get(number)
+        if kind == BEGIN:
+            self.begin(number, content)
+        elif request is None:
+            # Of a request that was answered early, or was given up: the rest of it is still on its way.
+            self.dropped += len(content)
+            if self.dropped > DROPPED:
+                raise Refused("a request goes on and on after its end")
+        elif kind == ABORT:
+            del self.open[number]
+            self.let_go(request)
+        elif kind == PARAMS:
+            self.params(request, content)
+        elif kind == STDIN:
+            self.stdin(request, content)
+        else:
+            raise Refused(f"type {kind} is not for a client to send")
+
+    def begin(self, number: int, content: bytes) -> None:
+        role, keep = codec.begin(content)
+        if number in self.open:
+            raise Refused(f"number {number} is begun twice")
+        now = time.monotonic_ns()
+        request = Request(self, number, keep, now)
+        if len(self.open) >= MOST_OPEN:
+            self.offences += 1
+            self.door.tally.note(now, "too-many-open")
+            self.put(codec.response(number, MANY))
+            return
+        self.open[number] = request
+        self.limit = min(self.limit, now + room.REQUEST)
+        if role != codec.RESPONDER:
+            self.offences += 1
+            request.respond(b"", codec.UNKNOWN_ROLE)
+
+    def params(self, request: Request, content: bytes) -> None:
+        if request.told is not None:
+            raise Refused("parameters after their end")
+        if content:
+            request.params += content
+            if len(request.params) > LONGEST_PARAMS:
+                self.unfit(request, Unfit(413, f"parameters pass {LONGEST_PARAMS} bytes"))
+            return
+        try:
+            request.told, request.params = requests.parameters(request.params), b""
+        except Unfit as problem:
+            self.unfit(request, problem)
+
+    def stdin(self, request: Request, content: bytes) -> None:
+        if request.told is None:
+            raise Refused("a body before the end of the parameters")
+        if request.held is not None:
+            raise Refused("a body after its end")
+        if content:
+            request.body += content
+            if len(request.body) > LONGEST_BODY:
+                self.unfit(request, Unfit(413, f"a body passes {LONGEST_BODY} bytes"))
+            return
+        unread, self.unread = self.unread, 0
+        try:
+            self.door.take(request, unread)
+        except Unfit as problem:
+            self.unfit(request, problem)
+
+    def unfit(self, request: Request, problem: Unfit) -> None:
+        self.offences += 1
+        self.door.tally.note(time.monotonic_ns(), "unfit")
+        self.door.note("unfit", level="debug", problem=str(problem))
+        request.respond(requests.unfit(problem))
+
+    # Answers.
+
+    def respond(self, request: Request, content: bytes, status: int = codec.COMPLETE) -> None:
+        if self.open.get(request.number) is not request:
+            return                      # its client gave it up: the number may be another's by now
+        del self.open[request.number]
+        self.answered = True
+        self.active = time.monotonic_ns()
+        self.last = self.last or not request.keep
+        self.put(codec.response(request.number, content, status))
+
+    def put(self, data: bytes) -> None:
+        if not self.outbox.put(None, data):
+            self.shut()                 # it takes no answers
+        elif self.writer is None:
+            try:
+                if not write_now(self.sock, self.outbox):
+                    self.writer = gevent.spawn(self.write_rest)
+                elif self.last and not self.open:
+                    self.shut(socket.SHUT_RD)
+            except OSError:
+                self.shut()
+
+    def write_rest(self) -> None:
+        try:
+            write_out(self.sock, self.outbox, WRITE)
+            if self.last and not self.open:
+                self.shut(socket.SHUT_RD)
+        except OSError:
+            self.shut()
+        finally:
+            self.writer = None
+
+    def shut(self, how: int = socket.SHUT_RDWR) -> None:
+        with suppress(OSError):
+            self.sock.shutdown(how)     # the reader wakes and tidies up
+
+    def look(self, now: int) -> None:
+        """A limit has passed, or may have: what is overdue ends."""
+        self.limit = now + room.FIRST
+        for request in [each for each in self.open.values() if each.held is None]:
+            if now - request.began >= room.REQUEST:
+                self.unfit(request, Unfit(400, "the request did not end in time"))
+            else:
+                self.limit = min(self.limit, request.began + room.REQUEST)
+        if not self.busy:
+            left = room.over(self, now)
+            if left <= 0:
+                self.shut()
+            else:
+                self.limit = min(self.limit, now + left)
+
+
+class Door:
+    """The listener and all connections; the desk's port to clients."""
+
+    def __init__(self, most: int, activations: int, types: dict[str, NamespaceType], advice: int,
+                 admission: Admission, ready: Callable[[], bool], note: Callable[..., None],
+                 chance: Callable[[], float]):
+        self.most, self.activations, self.types, self.advice = most, activations, types, advice
+        self.admission, self.ready, self.note, self.chance = admission, ready, note, chance
+        self.looks, self.tally = Looks(), Tally()
+        self.connections: set[Connection] = set()
+        self.greenlets = Group()
+        self.closing = False
+        self.due = 0
+        self.desk: Desk
+
+    def accept(self, sock: socket.socket) -> None:
+        for client in arriving(sock, self.note):
+            if len(self.connections) >= self.most:
+                for each in room.who_goes(self.connections, time.monotonic_ns()):
+                    each.shut()         # type: ignore[attr-defined]
+                gevent.sleep(ROOM_WAIT / SECOND)
+            if len(self.connections) >= self.most:
+                self.tally.note(time.monotonic_ns(), "too-many-connections")
+                client.close()
+                continue
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection = Connection(client, self, self.looks.unread(time.monotonic_ns()))
+            self.connections.add(connection)
+            self.greenlets.spawn(self.converse, connection)
+
+    def converse(self, connection: Connection) -> None:
+        try:
+            connection.serve()
+        except Exception as fault:      # ours; it ends this connection alone, and loudly
+            place = traceback.extract_tb(fault.__traceback__)[-1]
+            self.note("fault", level="error", problem=repr(fault), at=f"{place.filename}:{place.lineno}")
+        finally:
+            self.connections.discard(connection)
+
+    def take(self, request: Request, unread: int) -> None:
+        """A whole request: answered, refused, or taken. Raises Unfit."""
+        told = request.told
+        assert told is not None
+        if told.get(b"SCRIPT_NAME") == requests.ALIVE:
+            request.held = True
+            request.respond(requests.DONE if self.ready() and not self.closing else self.busy("not-ready"))
+            return
+        # First, as what is refused must cost as little as can be: at the limit all else is work for nothing.
+        if not self.admission.admit(b"HTTP_X_AGAIN" in told):
+            self.refuse(request, OVERLOADED)
+            return
+        asked = requests.read(told, request.body, self.types)
+        if asked.ivk in self.desk.held:
+            raise Unfit(409, "a request with this id is open")
+        request.held, request.told, request.body = True, {}, b""
+        # It may have lain unread since the event loop looked last: its client's time ran all the while.
+        unread = max(unread, self.looks.unread(time.monotonic_ns()))
+        if unread >= STALL:
+            # Word that a worker drains may lie unread too, and rule 3 counts from when it came.
+            gevent.sleep(SETTLE / SECOND)
+            unread += SETTLE
+            if asked.ivk in self.desk.held:
+                raise Unfit(409, "a request with this id is open")
+        call = asked.call._replace(left=asked.call.left - unread)
+        if request.connection.open.get(request.number) is not request:
+            return                      # its client gave it up meanwhile
+        if self.closing or call.left <= 0 or len(self.desk.held) >= self.activations:
+            self.refuse(request, CLOSING if self.closing else LATE if call.left <= 0 else FULL)
+            return
+        held = self.desk.take(time.monotonic_ns(), asked.ivk, call, request)
+        request.held = held
+
+    def refuse(self, request: Request, reason: str) -> None:
+        """Not taken: nothing ran, so trying again is harmless."""
+        self.tally.note(time.monotonic_ns(), reason)
+        request.held = True
+        request.respond(self.busy(reason))
+
+    def busy(self, reason: str) -> bytes:
+        return requests.busy(reason, int(self.advice * (1 - self.chance() / 2)))
+
+    # The desk's port.
+
+    def answered(self, held: Held) -> None:
+        answer = held.answer
+        assert answer is not None
+        if answer.reason != "completed":
+            self.tally.note(held.answered_at, f"{answer.final.value}-{answer.reason}")
+        held.client.respond(requests.final(answer))
+
+    def over(self, held: Held) -> None:
+        """Nothing is kept beyond the handle."""
+
+    # Time.
+
+    def tick(self, now: int) -> None:
+        if now < self.due:
+            return
+        self.due = now + LOOK
+        for each in [each for each in self.connections if each.limit <= now]:
+            each.look(now)
+        for line in self.tally.tell(now):
+            self.note("turned-away", level="warning", **line)
+
+    def end(self) -> None:
+        """Ends all connections, once nothing is owed."""
+        for each in list(self.connections):
+            each.shut()
+        self.greenlets.join(WRITE / SECOND)
+        self.greenlets.kill()
+        for line in self.tally.tell(time.monotonic_ns(), all_=True):
+            self.note("turned-away", level="warning", **line)
--- /dev/null
+++ b/threadshift/fastcgi/room.py
@@ -0,0 +1,59 @@
+"""For how long a client's connection is waited for, and who makes room where there are too many. Free of I/O.
+
+Every client is owed a refusal, an error or a close within three seconds, so all limits lie safely under that. A usual
+client connects because it has something to ask: who connects and says nothing makes room first, at once, and who
+sent what could not be read makes room next.
+"""
+from __future__ import annotations
+
+import heapq
+from collections.abc import Collection
+from typing import Protocol
+
+from threadshift.interface import MS, SECOND
+
+FIRST = 2 * SECOND         # until a connection has had its first answer, or has one coming
+REQUEST = 2 * SECOND       # from a request's begin to its last byte
+IDLE = 10 * SECOND         # of one that was answered before; clients close theirs sooner
+GRACE = 20 * MS            # a new connection's first bytes come with it, but for the network's delay
+SPARED = SECOND            # without a request, after which one that asked before makes room
+ROOM = 8                   # ended at a time: looking through all costs more than ending some
+PAUSE, LONGEST_PAUSE = 100 * MS, SECOND    # for which one is not read after an offence; doubled with each
+LINGER = 500 * MS          # for which one is kept, unread, that is to be closed: who comes back at once, waits
+PARTS = 2                  # one descriptor in so many is for clients
+
+
+class Kept(Protocol):
+    """What is looked at of one connection."""
+
+    accepted: int
+    active: int                          # when something came or left last
+    offences: int                        # requests that could not be used
+    answered: bool                       # it had an answer
+
+    @property
+    def busy(self) -> bool: ...          # something is owed, or under way
+
+
+def pause(offences: int) -> int:
+    """ns for which a connection is not read after its latest offence."""
+    return min(LONGEST_PAUSE, PAUSE << min(offences - 1, 8)) if offences else 0
+
+
+def over(it: Kept, now: int) -> int:
+    """ns until a connection with nothing open is ended; 0 or less: now."""
+    return it.active + IDLE - now if it.answered and not it.offences else it.accepted + FIRST - now
+
+
+def who_goes(kept: Collection[Kept], now: int) -> list[Kept]:
+    """Those that make room: offenders and silent ones first, then those that have asked nothing for longest."""
+    def rank(it: Kept) -> tuple[bool, int]:
+        return it.answered and not it.offences, it.active
+    spare = [each for each in kept if not each.busy and now - each.active >= (
+        SPARED if each.answered and not each.offences else GRACE)]
+    return heapq.nsmallest(ROOM, spare, key=rank)
+
+
+def share(sockets: int) -> int:
+    """Connections of clients, of the descriptors of this process; usual ones hold a third of them at the most."""
+    return max(8, sockets // PARTS)
--- /dev/null
+++ b/threadshift/frames/link.py
@@ -0,0 +1,372 @@
+"""One worker that speaks binary frames: its connections, what waits on each, and what a break proves.
+
+A Link owns its greenlets, ended by stop(): one a connection that reads, one that dials, and one that writes while a
+socket is full. What comes in becomes a call on the handle it belongs to; nothing here decides what follows.
+"""
+from __future__ import annotations
+
+import select
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any, NamedTuple
+
+import gevent
+from gevent import socket
+
+from threadshift.conf.settings import report
+from threadshift.conf.values import Address
+from threadshift.frames import berths
+from threadshift.frames.codec import (
+    ASK, ERROR, FINE, FULL, GIVE_UP, HOLD, INVOKE, MISS, OK, OVER, UNWELL, Answer, Frames, Refused, encode)
+from threadshift.interface import MS, SECOND, Copy, Outcome
+from threadshift.links.outbox import Outbox
+from threadshift.links.redial import Redial
+from threadshift.links.sockets import connect, since_ready, write_now, write_out
+
+READ = 16 << 10            # bytes a read: many usual answers, and little memory a connection
+MOST_USED = 128            # ids remembered a connection that may not go over it again
+COPIES = {"reused": Copy.FOUND, "init": Copy.BEGAN, "shared_init": Copy.WAITED, "init_error": Copy.LOAD_FAILED}
+ENDS = {OK: Outcome.COMPLETED, MISS: Outcome.MISS, FULL: Outcome.FULL, ERROR: Outcome.ERROR, OVER: Outcome.MOOT}
+ORDERS = {OK: Outcome.COMPLETED, FULL: Outcome.FULL}
+
+
+class Told(NamedTuple):
+    """What is told of workers' connections at start, and bounds derived from it."""
+
+    connect: int         # ns until a connection that is not up counts as unreachable
+    write: int           # ns without progress until one that takes no bytes is broken off
+    idle: int            # ns after which workers close an idle one
+    streams: int         # sends on one at once
+    most: int            # connections to each worker
+    buffer: int          # bytes waiting to be written to one
+    body: int            # bytes of an answer's body
+
+
+class Berth:
+    """One connection to a worker."""
+
+    __slots__ = ("sock", "outbox", "waiting", "used", "proven", "doubted", "heard", "writer", "reader")
+
+    def __init__(self, sock: socket.socket, buffer: int):
+        self.sock = sock
+        self.outbox = Outbox(buffer)
+        self.waiting: dict[bytes, Any] = {}     # (held, number) of a send, or an Asked
+        self.used: dict[bytes, None] = {}
+        self.proven = self.doubted = False
+        self.heard = 0
+        self.writer: gevent.Greenlet | None = None
+        self.reader: gevent.Greenlet | None = None
+
+
+class Link:
+    """All connections to one worker."""
+
+    def __init__(self, worker: str, address: Address, told: Told, note: Callable[..., None],
+                 chance: Callable[[], float], bits: Callable[[int], int]):
+        self.worker, self.address, self.told, self.note, self.bits = worker, address, told, note, bits
+        self.redial = Redial(chance)
+        self.not_before = 0
+        self.berths: list[Berth] = []
+        self.queue: dict[bytes, tuple[Any, bytes]] = {}     # waits for the first connection: what, and its frame
+        self.ways: dict[tuple[str, int], tuple[Berth | None, bytes]] = {}   # where a send waits, for cancels
+        self.dialler: gevent.Greenlet | None = None
+        self.stopped = False
+        self.dial()
+
+    # What the desk's port asks for.
+
+    def invoke(self, held: Any, number: int, left: int) -> Outcome | None:
+        call = held.call
+        id_ = bytes.fromhex(held.ivk)
+        frame = encode(INVOKE, id_, f"class={call.type},key={call.function},wait={max(1, left // MS)}", call.body)
+        berth = berths.fit(self.berths, id_, self.told.streams)
+        if berth is None:
+            return self.wait_for_dial((held, number), id_, frame)
+        outcome = self.put(berth, id_, (held, number), frame)
+        if outcome is None:
+            self.ways[held.ivk, number] = berth, id_
+        if berths.another(self.berths, self.dialler is not None, self.told.most):
+            self.dial()
+        return outcome
+
+    def wait_for_dial(self, what: tuple[Any, int], id_: bytes, frame: bytes) -> Outcome | None:
+        if self.stopped or time.monotonic_ns() < self.not_before or id_ in self.queue or (
+                len(self.berths) >= self.told.most and not self.make_room()):
+            return Outcome.UNREACHABLE
+        if len(self.queue) >= self.told.streams:
+            return Outcome.UNREACHABLE      # more than one connection takes: it never left
+        self.queue[id_] = what, frame
+        self.ways[what[0].ivk, what[1]] = None, id_
+        self.dial()
+        return None
+
+    def make_room(self) -> bool:
+        """Ends a connection that carries nothing, where all that there may be stand and none can be used."""
+        for berth in self.berths:
+            if not berth.waiting:
+                self.end(berth)
+                return True
+        return False
+
+    def order(self, asked: Any) -> Outcome | None:
+        return self.now(asked, HOLD, f"key={asked.fn},n=1")
+
+    def ask(self, asked: Any) -> Outcome | None:
+        return self.now(asked, ASK, "")
+
+    def now(self, asked: Any, code: int, fields: str) -> Outcome | None:
+        """An order or a question leaves at once or not at all: late ones would come to the worker in a bunch."""
+        id_ = self.number()
+        berth = berths.fit(self.berths, id_, self.told.streams)
+        if berth is None or berth.outbox.size:
+            if not self.berths:
+                self.dial()
+            return Outcome.UNREACHABLE
+        outcome = self.put(berth, id_, asked, encode(code, id_, fields))
+        if outcome is None and berth.outbox.withdraw(id_):
+            berth.waiting.pop(id_, None)
+            return Outcome.UNREACHABLE
+        return outcome
+
+    def number(self) -> bytes:
+        """An id of our own, which meets no other that is open here."""
+        while True:
+            id_ = self.bits(64).to_bytes(8, "big")
+            if id_ not in self.queue and not any(id_ in each.waiting for each in self.berths):
+                return id_
+
+    def put(self, berth: Berth, id_: bytes, what: Any, frame: bytes) -> Outcome | None:
+        if not berth.waiting and self.closed(berth):
+            self.end(berth)
+            return self.again(id_, what, frame)
+        if not berth.outbox.put(id_, frame):
+            return Outcome.UNREACHABLE      # a worker that does not read: what fits no more never left
+        berth.waiting[id_] = what
+        berth.used[id_] = None
+        if len(berth.used) > MOST_USED:
+            del berth.used[next(iter(berth.used))]
+        self.write(berth)
+        return None
+
+    def again(self, id_: bytes, what: Any, frame: bytes) -> Outcome | None:
+        """A frame none of whose bytes left looks for another connection."""
+        berth = berths.fit(self.berths, id_, self.told.streams)
+        if berth is not None:
+            outcome = self.put(berth, id_, what, frame)
+            if outcome is None and isinstance(what, tuple):
+                self.ways[what[0].ivk, what[1]] = berth, id_
+            return outcome
+        return self.wait_for_dial(what, id_, frame) if isinstance(what, tuple) else Outcome.UNREACHABLE
+
+    def closed(self, berth: Berth) -> bool:
+        """Whether the peer has closed an idle connection, seen or not, or is about to: nothing is written on it."""
+        if berths.stale(time.monotonic_ns(), berth.heard, self.told.idle):
+            return True
+        look = select.poll()
+        look.register(berth.sock.fileno(), select.POLLRDHUP)
+        return bool(look.poll(0))
+
+    def write(self, berth: Berth) -> None:
+        if berth.writer is not None:
+            return
+        try:
+            if not write_now(berth.sock, berth.outbox):
+                berth.writer = gevent.spawn(self.write_rest, berth)
+        except OSError:
+            with suppress(OSError):
+                berth.sock.shutdown(socket.SHUT_RDWR)       # the reader notices and tidies up
+
+    def write_rest(self, berth: Berth) -> None:
+        try:
+            write_out(berth.sock, berth.outbox, self.told.write)
+        except OSError:
+            with suppress(OSError):
+                berth.sock.shutdown(socket.SHUT_RDWR)
+        finally:
+            berth.writer = None
+
+    def cancel(self, held: Any, number: int, tell: bool) -> Outcome:
+        """Stops waiting for a send. MOOT where it never left. The worker is told in any case, or it works on."""
+        berth, id_ = self.ways.pop((held.ivk, number), (None, b""))
+        if berth is None:
+            return Outcome.MOOT if self.queue.pop(id_, None) else Outcome.CANCELLED
+        if berth.waiting.pop(id_, None) is None:
+            return Outcome.CANCELLED
+        left = berth.outbox.left.pop(id_, 0)
+        if berth.outbox.withdraw(id_):
+            return Outcome.MOOT
+        if berth.outbox.put(None, encode(GIVE_UP, id_)):
+            self.write(berth)
+        berth.doubted = berth.doubted or berths.doubt(berth.heard, left)
+        if berth.doubted and not berth.waiting:
+            self.end(berth)
+        return Outcome.CANCELLED
+
+    def take_back(self) -> None:
+        """Ends all that waits here and of which nothing is written: it never ran. Called when nothing more may go to
+        this worker."""
+        now = time.monotonic_ns()
+        queued, self.queue = [what for what, _ in self.queue.values()], {}
+        for berth in self.berths:
+            for id_, what in list(berth.waiting.items()):
+                if berth.outbox.withdraw(id_):
+                    del berth.waiting[id_]
+                    queued.append(what)
+        for what in queued:
+            self.finish(what, now, Outcome.UNREACHABLE)
+
+    @property
+    def busy(self) -> bool:
+        return bool(self.queue) or any(each.waiting for each in self.berths)
+
+    @property
+    def up(self) -> bool:
+        return bool(self.berths)
+
+    def finish(self, what: Any, now: int, outcome: Outcome) -> None:
+        if isinstance(what, tuple):
+            self.ways.pop((what[0].ivk, what[1]), None)
+            what[0].returned(now, what[1], outcome)
+        else:
+            what.answered(now, outcome)
+
+    # The connections.
+
+    def dial(self) -> None:
+        if self.dialler is None and not self.stopped:
+            self.dialler = gevent.spawn(self.connect)
+
+    def connect(self) -> None:
+        """Brings one more connection up; while there is none, tries again after pauses."""
+        problem = ""
+        while not self.stopped:
+            gevent.sleep(max(0, self.not_before - time.monotonic_ns()) / SECOND)
+            try:
+                sock = connect(self.address, self.told.connect)
+                break
+            except OSError as failed:
+                now = time.monotonic_ns()
+                self.not_before = self.redial.broke(now)
+                if not problem:
+                    problem = str(failed)
+                    self.note("link-down", worker=self.worker, problem=problem, sends=len(self.queue))
+                queued, self.queue = self.queue, {}
+                for what, _ in queued.values():
+                    self.finish(what, now, Outcome.UNREACHABLE)
+                if self.berths and not self.queue:
+                    self.dialler = None
+                    return
+        else:
+            return
+        now = time.monotonic_ns()
+        self.redial.up(now)
+        berth = Berth(sock, self.told.buffer)
+        berth.heard = now
+        self.berths.append(berth)
+        self.dialler = None
+        berth.reader = gevent.spawn(self.read, berth)
+        queued, self.queue = self.queue, {}
+        for id_, (what, frame) in queued.items():
+            outcome = self.put(berth, id_, what, frame)
+            if outcome is None:
+                self.ways[what[0].ivk, what[1]] = berth, id_
+            else:
+                self.finish(what, time.monotonic_ns(), outcome)
+
+    def read(self, berth: Berth) -> None:
+        frames, problem, answers = Frames(self.told.body), "", []
+        sock = berth.sock
+        try:
+            while not problem:
+                try:
+                    data = sock.recv(READ)
+                    if not data:
+                        break
+                    berth.heard = time.monotonic_ns()
+                    answers = frames.feed(data)
+                except TimeoutError:
+                    continue        # a writer's limit, which stands on the socket; reading has none
+                except Refused as refused:
+                    problem, answers = str(refused), getattr(refused, "before", [])
+                for answer in answers:
+                    self.hear(berth, answer)
+        except (OSError, Refused) as failed:
+            problem = str(failed) or type(failed).__name__
+        self.broke(berth, problem or ("closed inside a frame" if frames.torn else ""))
+
+    def hear(self, berth: Berth, it: Answer) -> None:
+        """One answer as the call on the handle that it belongs to; one that nobody waits for is dropped."""
+        what = berth.waiting.get(it.id)
+        if what is None:
+            return
+        now = time.monotonic_ns()
+        if isinstance(what, tuple) != (it.code in ENDS) and isinstance(what, tuple):
+            raise Refused(f"code {it.code} answers something else")
+        load = report(it.fields["stats"], ";") if "stats" in it.fields else None
+        if isinstance(what, tuple):
+            copy = COPIES.get(it.fields.get("how", ""), Copy.UNTOLD)
+        elif what.fn:
+            if it.code not in (OK, FULL, ERROR):
+                raise Refused(f"code {it.code} answers something else")
+            copies = it.fields.get("n", "0")
+            if not (copies.isascii() and copies.isdigit() and len(copies) < 6):
+                raise Refused(f"n={copies[:20]} is no number of copies")
+        elif it.code not in (FINE, UNWELL):
+            raise Refused(f"code {it.code} answers something else")
+        del berth.waiting[it.id]
+        berth.proven = True
+        left = berth.outbox.left.pop(it.id, now)
+        if isinstance(what, tuple):
+            held, number = what
+            self.ways.pop((held.ivk, number), None)
+            # What we held it up ourselves is not the worker's, or at our own limit every worker would look slow.
+            held.returned(now, number, ENDS[it.code], body=it.body, copy=copy, report=load,
+                          waited=max(0, now - since_ready() - left))
+        elif what.fn:
+            what.answered(now, ORDERS.get(it.code, Outcome.ERROR), copies=int(copies))
+        else:
+            what.answered(now, Outcome.COMPLETED, report=load)
+        if berth.doubted and not berth.waiting:
+            berth.doubted = False       # it lives: what was given up was slow
+
+    def broke(self, berth: Berth, problem: str) -> None:
+        """Ends what waits on one connection: what never left goes over another, the rest may have run."""
+        if berth not in self.berths:
+            return
+        ended = list(berth.waiting.items())
+        frames = {key: entry[1] for key, entry in berth.outbox.unwritten.items()}
+        self.end(berth)
+        now = time.monotonic_ns()
+        if problem or ended:
+            self.note("link-broke", worker=self.worker, problem=problem or "closed", sends=len(ended))
+        if not self.berths and not self.stopped:
+            self.not_before = self.redial.broke(now) if problem or ended else now
+            self.dial()
+        for id_, what in ended:
+            if id_ not in frames:
+                self.finish(what, now, Outcome.RESET)
+            elif (outcome := self.again(id_, what, frames[id_])) is not None:
+                self.finish(what, now, outcome)
+
+    def end(self, berth: Berth) -> None:
+        """Closes one connection, on which nothing counts any more."""
+        if berth in self.berths:
+            self.berths.remove(berth)
+        if berth.writer is not None:
+            berth.writer.kill(block=False)
+        if berth.reader is not None and berth.reader is not gevent.getcurrent():
+            berth.reader.kill(block=False)
+        berth.sock.close()
+        berth.waiting, berth.used = {}, {}
+        berth.outbox.clear()
+
+    def stop(self) -> None:
+        """Ends the link and its greenlets; what waits for answers ends like after a break."""
+        self.stopped = True
+        if self.dialler is not None:
+            self.dialler.kill(block=False)
+            self.dialler = None
+        self.take_back()
+        for berth in list(self.berths):
+            self.broke(berth, "stopped")
--- /dev/null
+++ b/threadshift/gateway/fleet.py
@@ -0,0 +1,103 @@
+"""The workers of one front end: who they are, a link to each, and the desk's port to them.
+
+Nothing here decides. Links belong to worker ids, never to addresses. A subclass makes links of its own protocol.
+"""
+from __future__ import annotations
+
+import time
+from collections.abc import Collection
+from typing import Any, Protocol
+
+from threadshift.conf.values import Address
+from threadshift.desk.desk import Asked, Desk, Held
+from threadshift.interface import MS, Listing, Outcome, State
+from threadshift.roster.membership import Entry, Membership
+
+
+class AnyLink(Protocol):
+    """What a link of any protocol does."""
+
+    address: Address
+
+    @property
+    def busy(self) -> bool: ...
+    def invoke(self, held: Held, number: int, left: int) -> Outcome | None: ...
+    def cancel(self, held: Held, number: int, tell: bool) -> Outcome: ...
+    def order(self, asked: Asked) -> Outcome | None: ...
+    def ask(self, asked: Asked) -> Outcome | None: ...
+    def take_back(self) -> None: ...
+    def stop(self) -> None: ...
+
+
+class Fleet:
+    """Carries the desk's steps to links, and word of workers to the desk."""
+
+    desk: Desk
+
+    def __init__(self, grace: int) -> None:
+        self.membership = Membership(grace)
+        self.links: dict[str, Any] = {}
+        self.roster_said = 0
+        self.roster_lost = False         # the feed is lost or the file unreadable: the last list stands
+
+    def link(self, it: Entry) -> AnyLink:
+        """A new link to a worker."""
+        raise NotImplementedError
+
+    def note(self, event: str, **fields: Any) -> None:
+        raise NotImplementedError
+
+    # The desk's port to workers.
+
+    def send(self, worker: str, held: Held, number: int) -> Outcome | None:
+        link = self.links.get(worker)
+        left = held.time_left(time.monotonic_ns())
+        return Outcome.UNREACHABLE if link is None else link.invoke(held, number, left)
+
+    def cancel(self, worker: str, held: Held, number: int, tell: bool) -> Outcome:
+        link = self.links.get(worker)
+        return Outcome.CANCELLED if link is None else link.cancel(held, number, tell)
+
+    def hold(self, worker: str, order: Asked) -> Outcome | None:
+        link = self.links.get(worker)
+        return Outcome.UNREACHABLE if link is None else link.order(order)
+
+    def ask(self, worker: str, question: Asked) -> Outcome | None:
+        link = self.links.get(worker)
+        return Outcome.UNREACHABLE if link is None else link.ask(question)
+
+    # What the roster tells.
+
+    def listed(self, entries: Collection[Entry], full: bool) -> None:
+        now = self.roster_said = time.monotonic_ns()
+        self.roster_lost = False
+        before = self.membership.empty_since
+        listings = self.membership.listed(now, time.time_ns(), entries, full)
+        if self.membership.empty_since is not None and before is None:
+            self.note("roster-empty", level="warning", held_ms=self.membership.grace // 2 // MS)
+        for each in entries:
+            self.dial(each)
+        self.told_of(listings)
+
+    def dial(self, it: Entry) -> None:
+        """A link to each listed worker, at the address that the roster has now."""
+        link = self.links.get(it.worker)
+        if link is not None and link.address != it.address:
+            self.links.pop(it.worker).stop()
+            link = None
+        if link is None and it.state is not State.GONE:
+            self.links[it.worker] = self.link(it)
+
+    def told_of(self, listings: list[Listing]) -> None:
+        if listings:
+            self.desk.roster(time.monotonic_ns(), listings, full=False)
+        for each in listings:
+            if each.state is not State.READY and each.worker in self.links:
+                self.links[each.worker].take_back()
+
+    def let_go_of_workers(self) -> None:
+        """Ends links to workers that are gone, once nothing waits for them."""
+        for name in [name for name, link in self.links.items()
+                     if self.membership.known[name].entry.state is State.GONE and not link.busy]:
+            self.links.pop(name).stop()
+        self.membership.forget(time.monotonic_ns(), self.links)
--- a/threadshift/gateway/front_end.py
+++ b/threadshift/gateway/front_end.py
@@ -8,7 +8,7 @@
 import random
 import time
 import traceback
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from contextlib import suppress
 from itertools import cycle
 from typing import Any
@@ -23,35 +23,38 @@
 from threadshift.conf.reading import Mistake
 from threadshift.conf.values import Address
 from threadshift.desk import earlier
-from threadshift.desk.desk import Asked, Desk, Held
+from threadshift.desk.desk import Desk
 from threadshift.gateway.admin import Admin
+from threadshift.gateway.fleet import Fleet
 from threadshift.gateway.hall import Hall
 from threadshift.gateway.recent import Arrivals, Recent
-from threadshift.interface import MS, SECOND, Outcome, State
+from threadshift.interface import MS, SECOND
 from threadshift.invoke.admission import PERIOD, Admission
 from threadshift.invoke import requests
-from threadshift.invoke.api import PAUSE_OF, SETTLE, STALL, Invoke, busy
+from threadshift.invoke.api import PAUSE_OF, Invoke, busy
 from threadshift.invoke.deferred import InMemory
 from threadshift.invoke.http import Application, Connection, Watch, whole
+from threadshift.invoke.looks import SETTLE, STALL
 from threadshift.invoke.shares import weights
 from threadshift.links.codec import Frame
 from threadshift.links.link import Link
-from threadshift.links.sockets import listener
+from threadshift.links.sockets import arriving, listener
 from threadshift.log import Log
-from threadshift.roster.membership import Entry, Membership
+from threadshift.roster.membership import Entry
 from threadshift.roster.sources import Feed, WatchedFile
+from threadshift.timer import ticks
 
-ACCEPT_PAUSE = 100 * MS    # after an accept that failed for want of descriptors
 ROOM_WAIT = 2 * MS         # for connections that make room to end: two rounds of the loop
 OPERATORS = 32             # connections at the operators' listener; clients cannot take these, nor one operator all
 FULL = [whole(requests.problem(busy(503, "too-many-connections", "no more connections are kept here", pause)),
               keep=False) for pause in PAUSE_OF]
 
 
-class FrontEnd:
+class FrontEnd(Fleet):
     """Carries steps to links and answers to the desk; owns every greenlet of the process."""
 
     def __init__(self, told: Installation, index: int, log: Log, seed: int | None = None):
+        super().__init__(told.deployment.drain_grace)
         now = time.monotonic_ns()
         self.told, self.index, self.log = told, index, log
         self.name = told.front_end(index)
@@ -68,8 +71,6 @@
         dispatcher = Dispatcher(chance.getrandbits(63), told.deployment, now)
         earlier.assume(dispatcher, told.deployment, now)
         self.desk = self.api.desk = Desk(dispatcher, self, self.api, bounds.load_order)
-        self.membership = Membership(told.deployment.drain_grace)
-        self.links: dict[str, Link] = {}
         self.listeners: list[socket.socket] = []
         self.connections = Group()
         self.operators = Group()
@@ -82,27 +83,6 @@
         self.hall = Hall(self) if told.announcing else None
         self.stalls, self.longest_stall, self.started = 0, 0, now
         self.settled = 0                 # when it was last seen that the process had stood still
-        self.roster_said = 0
-        self.roster_lost = False         # the feed is lost or the file unreadable: the last list stands
-
-    # The desk's port to workers.
-
-    def send(self, worker: str, held: Held, number: int) -> Outcome | None:
-        link = self.links.get(worker)
-        left = held.time_left(time.monotonic_ns())
-        return Outcome.UNREACHABLE if link is None else link.invoke(held, number, left)
-
-    def cancel(self, worker: str, held: Held, number: int, tell: bool) -> Outcome:
-        link = self.links.get(worker)
-        return Outcome.CANCELLED if link is None else link.cancel(held, number, tell)
-
-    def hold(self, worker: str, order: Asked) -> Outcome | None:
-        link = self.links.get(worker)
-        return Outcome.UNREACHABLE if link is None else link.order(order)
-
-    def ask(self, worker: str, question: Asked) -> Outcome | None:
-        link = self.links.get(worker)
-        return Outcome.UNREACHABLE if link is None else link.ask(question)
 
     # What links and the roster tell.
 
@@ -125,33 +105,8 @@
             self.note("worker-drains", worker=worker)
         self.told_of(listings)
 
-    def listed(self, entries: list[Entry], full: bool) -> None:
-        now = self.roster_said = time.monotonic_ns()
-        self.roster_lost = False
-        before = self.membership.empty_since
-        listings = self.membership.listed(now, time.time_ns(), entries, full)
-        if self.membership.empty_since is not None and before is None:
-            self.note("roster-empty", level="warning", held_ms=self.membership.grace // 2 // MS)
-        for each in entries:
-            self.dial(each)
-        self.told_of(listings)
-
-    def dial(self, it: Entry) -> None:
-        """A link to each listed worker, at the address that the roster has now."""
-        link = self.links.get(it.worker)
-        if link is not None and link.address != it.address:
-            self.links.pop(it.worker).stop()
-            link = None
-        if link is None and it.state is not State.GONE:
-            self.links[it.worker] = Link(it.worker, it.address, self.told.bounds, self.name,
-                                         self.told.deployment.zone, self, self.chance)
-
-    def told_of(self, listings: list) -> None:
-        if listings:
-            self.desk.roster(time.monotonic_ns(), listings, full=False)
-        for each in listings:
-            if each.state is not State.READY and each.worker in self.links:
-                self.links[each.worker].take_back()
+    def link(self, it: Entry) -> Link:
+        return Link(it.worker, it.address, self.told.bounds, self.name, self.told.deployment.zone, self, self.chance)
 
     def settle(self) -> None:
         """After a standstill the roster's word is read before what answers bring: it may have lain beside them.
@@ -197,21 +152,8 @@
         """Asks run() to drain and return; from any greenlet or signal."""
         self.ending = True
 
-    def arriving(self, sock: socket.socket) -> Iterator[socket.socket]:
-        """Connections as they come, until the listener is closed; what fails is tried again after a pause."""
-        while True:
-            try:
-                client, _ = sock.accept()
-            except OSError as problem:
-                if sock.closed or sock.fileno() < 0:
-                    return
-                self.note("accept-failed", level="warning", problem=str(problem))
-                gevent.sleep(ACCEPT_PAUSE / SECOND)
-                continue
-            yield client
-
     def accept(self, sock: socket.socket) -> None:
-        for client in self.arriving(sock):
+        for client in arriving(sock, self.note):
             self.arrivals.note(time.monotonic_ns())
             if len(self.connections) >= self.told.bounds.connections:
                 # Who holds connections and asks nothing makes room for who asks.
@@ -230,7 +172,7 @@
 
     def accept_admin(self, sock: socket.socket, admin: Admin) -> None:
         """Operators' connections: with a bound of their own, so that a flood of clients does not lock them out."""
-        for client in self.arriving(sock):
+        for client in arriving(sock, self.note):
             if len(self.operators) < OPERATORS:
                 self.operators.spawn(self.converse, client, admin)
             else:
@@ -249,13 +191,8 @@
         """The one timer: every tick, what is due; how late it comes tells how busy or stalled the process is.
 
         A fault in what it calls is ours, and ends the process loudly: half a front end is worse than none."""
-        tick = self.told.deployment.tick
-        due = time.monotonic_ns() + tick
         measured = looked = 0
-        while not over():
-            gevent.sleep(max(0, due - time.monotonic_ns()) / SECOND)
-            now = time.monotonic_ns()
-            late = now - due
+        for now, late in ticks(self.told.deployment.tick, over):
             if late >= STALL:
                 self.stalls += 1
                 self.longest_stall = max(self.longest_stall, late)
@@ -277,14 +214,6 @@
                 looked = now
                 self.let_go_of_workers()
                 self.log.tick(now)
-            due = max(due + tick, time.monotonic_ns())
-
-    def let_go_of_workers(self) -> None:
-        """Ends links to workers that are gone, once nothing waits for them."""
-        for name in [name for name, link in self.links.items()
-                     if self.membership.known[name].entry.state is State.GONE and not link.waiting]:
-            self.links.pop(name).stop()
-        self.membership.forget(time.monotonic_ns(), self.links)
 
     def drain(self) -> None:
         """No new calls; what is held gets its answers; then the end, within the stated time."""
--- a/threadshift/invoke/api.py
+++ b/threadshift/invoke/api.py
@@ -16,14 +16,12 @@
 from threadshift.invoke.admission import Admission
 from threadshift.invoke.deferred import Deferral, Deferrals
 from threadshift.invoke.http import Exchange, whole
-from threadshift.invoke.looks import Looks
+from threadshift.invoke.looks import SETTLE, STALL, Looks
 from threadshift.invoke.requests import CALLS, DEFERRED, Problem, Response
 from threadshift.invoke.shares import Places
 from threadshift.invoke.tally import Tally
 from threadshift.log import Log
 
-STALL = 100 * MS           # a timer so late, or a call unread so long, means that the process stood still
-SETTLE = 10 * MS           # after that, until all that came meanwhile is read: several rounds of the loop
 BUSY_PAUSE = SECOND        # ns; when to come back after a refusal at the door, in the mean: it sheds a burst
 PAUSES = 16                # of them, from half to one and a half: all told the same, a burst would come back as one
 STRIDE = 7                 # between two used in turn: prime to PAUSES, so that neighbours are far apart
--- a/threadshift/invoke/looks.py
+++ b/threadshift/invoke/looks.py
@@ -10,6 +10,11 @@
 
 import gevent
 
+from threadshift.interface import MS
+
+STALL = 100 * MS           # a timer so late, or a call unread so long, means that the process stood still
+SETTLE = 10 * MS           # after that, until all that came meanwhile is read: several rounds of the loop
+
 
 class Looks:
     """The last two looks of this thread's loop; start() begins to note them."""
--- a/threadshift/links/link.py
+++ b/threadshift/links/link.py
@@ -21,7 +21,7 @@
 from threadshift.links.codec import VERSION, Frame, Frames, Refused, encode, pack
 from threadshift.links.outbox import Outbox
 from threadshift.links.redial import Redial
-from threadshift.links.sockets import READ, connect
+from threadshift.links.sockets import READ, connect, since_ready, write_out
 
 PORTION = 16 << 10         # bytes of answers heard before others have their turn: some hundred
 SILENT = 3                 # keepalives without a frame from the worker until the link counts as broken
@@ -39,11 +39,6 @@
     def note(self, event: str, **fields: Any) -> None: ...
 
 
-def since_ready() -> int:
-    """ns since the event loop last looked which sockets have something to read: what is read now lay ready then."""
-    return max(0, int((time.time() - gevent.get_hub().loop.now()) * SECOND))
-
-
 def report(told: Any) -> Report | None:
     """A load report off the wire; what is no number is taken as not told."""
     if not isinstance(told, dict):
@@ -128,6 +123,11 @@
                 self.ids.pop(self.key(what), None)
                 self.end(what, now, Outcome.UNREACHABLE)
 
+    @property
+    def busy(self) -> bool:
+        """Whether something waits for this worker's answer."""
+        return bool(self.waiting)
+
     @staticmethod
     def end(what: Any, now: int, outcome: Outcome) -> None:
         if isinstance(what, tuple):
@@ -233,14 +233,9 @@
         assert sock is not None
         try:
             while True:
-                chunk = self.outbox.chunk()
-                if not chunk:
-                    self.outbox.wrote(0)
-                    self.wake.clear()
-                    self.wake.wait()
-                    continue
-                sock.settimeout(self.bounds.write / SECOND)
-                self.outbox.wrote(sock.send(chunk), time.monotonic_ns())
+                write_out(sock, self.outbox, self.bounds.write)
+                self.wake.clear()
+                self.wake.wait()
         except OSError:
             with suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)     # the reader notices and tidies up
--- a/threadshift/links/redial.py
+++ b/threadshift/links/redial.py
@@ -18,8 +18,8 @@
 class Redial:
     """The pauses of one link. chance() gives a float from 0 to 1."""
 
-    def __init__(self, chance: Callable[[], float]):
-        self.chance, self.pause, self.up_since = chance, 0, 0
+    def __init__(self, chance: Callable[[], float], most: int = MOST):
+        self.chance, self.most, self.pause, self.up_since = chance, most, 0, 0
 
     def up(self, now: int) -> None:
         self.up_since = now
@@ -29,5 +29,5 @@
         if self.up_since and now - self.up_since >= STEADY:
             self.pause = 0
         self.up_since = 0
-        self.pause = min(MOST, max(FIRST, 2 * self.pause))
+        self.pause = min(self.most, max(FIRST, 2 * self.pause))
         return now + int(self.pause * (0.75 + 0.5 * self.chance()))
--- a/threadshift/links/sockets.py
+++ b/threadshift/links/sockets.py
@@ -2,15 +2,20 @@
 from __future__ import annotations
 
 import os
+import time
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 
+import gevent
 from gevent import socket
 
 from threadshift.conf.values import Address
-from threadshift.interface import SECOND
+from threadshift.interface import MS, SECOND
+from threadshift.links.outbox import Outbox
 
 READ = 64 << 10            # bytes a read; a usual frame or request fits many times
 BACKLOG = 1024             # connections that the kernel keeps for us to accept
+ACCEPT_PAUSE = 100 * MS    # after an accept that failed for want of descriptors
 
 
 def listener(address: Address, shared: bool) -> socket.socket:
@@ -43,3 +48,41 @@
     except BaseException:
         sock.close()
         raise
+
+
+def arriving(sock: socket.socket, note: Callable[..., None]) -> Iterator[socket.socket]:
+    """Connections as they come, until the listener is closed; what fails is noted and tried again after a pause."""
+    while True:
+        try:
+            client, _ = sock.accept()
+        except OSError as problem:
+            if sock.closed or sock.fileno() < 0:
+                return
+            note("accept-failed", level="warning", problem=str(problem))
+            gevent.sleep(ACCEPT_PAUSE / SECOND)
+            continue
+        yield client
+
+
+def write_out(sock: socket.socket, outbox: Outbox, limit: int) -> None:
+    """Writes what waits in the outbox. Raises OSError where the peer takes no byte for limit ns."""
+    while chunk := outbox.chunk():
+        sock.settimeout(limit / SECOND)
+        outbox.wrote(sock.send(chunk), time.monotonic_ns())
+    outbox.wrote(0)
+
+
+def write_now(sock: socket.socket, outbox: Outbox) -> bool:
+    """Writes what the operating system takes at once; whether that was all. Raises OSError."""
+    while chunk := outbox.chunk():
+        try:
+            outbox.wrote(sock.send(chunk, 0, 0.0), time.monotonic_ns())
+        except BlockingIOError:
+            return False
+    outbox.wrote(0)
+    return True
+
+
+def since_ready() -> int:
+    """ns since the event loop last looked which sockets have something to read: what is read now lay ready then."""
+    return max(0, int((time.time() - gevent.get_hub().loop.now()) * SECOND))
--- /dev/null
+++ b/threadshift/node/front.py
@@ -0,0 +1,168 @@
+"""One front end on the platform: door, links to workers, the coordinator's stream and the one timer around a desk.
+
+Nothing here decides. run() returns once it was told to end and has left in order.
+"""
+from __future__ import annotations
+
+import os
+import random
+import time
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.pool import Group
+
+from threadshift.choice import Dispatcher
+from threadshift.conf.settings import Malformed
+from threadshift.coordinator.events import Word
+from threadshift.coordinator.stream import Following
+from threadshift.desk import earlier
+from threadshift.desk.desk import Desk
+from threadshift.fastcgi.door import Door
+from threadshift.frames.link import Link
+from threadshift.gateway.fleet import Fleet
+from threadshift.interface import MS, SECOND, State
+from threadshift.invoke.admission import PERIOD, Admission
+from threadshift.invoke.looks import SETTLE, STALL
+from threadshift.links.sockets import listener
+from threadshift.log import Log
+from threadshift.node import placement
+from threadshift.node.leaving import Leaving, Stage
+from threadshift.node.placement import Placement
+from threadshift.roster.membership import Entry
+from threadshift.timer import ticks
+
+TELL = 10 * SECOND         # between two lines on how it goes
+
+
+class Node(Fleet):
+    """Carries steps to links and answers to the desk; owns every greenlet of the process."""
+
+    def __init__(self, told: Placement, environment: Mapping[str, str], log: Log):
+        super().__init__(told.deployment.drain_grace)
+        now = time.monotonic_ns()
+        self.told, self.environment, self.log = told, environment, log
+        chance = random.Random(told.seed)
+        self.chance, self.bits = chance.random, chance.getrandbits
+        types = {each.name: each for each in told.deployment.types}
+        self.admission = Admission(min(each.target_latency for each in types.values()))
+        self.door = Door(told.connections, told.activations, types, told.deployment.longest_advice, self.admission,
+                         self.ready, self.note, self.chance)
+        dispatcher = Dispatcher(chance.getrandbits(63), told.deployment, now)
+        earlier.assume(dispatcher, told.deployment, now)
+        self.desk = self.door.desk = Desk(dispatcher, self, self.door, told.load_order)
+        self.following = Following(told.coordinator, self.heard, self.lost, self.note, self.chance)
+        self.leaving = Leaving(max(each.action_timeout for each in types.values()))
+        self.greenlets = Group()
+        self.listening: socket.socket | None = None
+        self.stalls = self.longest_stall = 0
+        self.reloads: list[int] = []
+
+    def note(self, event: str, **fields: Any) -> None:
+        self.log.note(event, **fields)
+
+    # Workers.
+
+    def link(self, it: Entry) -> Link:
+        workers = sum(each.entry.state is State.READY for each in self.membership.known.values())
+        return Link(it.worker, it.address, self.told.links(workers), self.note, self.chance, self.bits)
+
+    def heard(self, word: Word) -> None:
+        """An event of the coordinator."""
+        self.listed(word.entries, word.full)
+
+    def lost(self) -> None:
+        self.roster_lost = True
+
+    def ready(self) -> bool:
+        return self.listening is not None and bool(self.desk.dispatcher.fleet) and not self.leaving.since
+
+    # Signals.
+
+    def end(self) -> None:
+        """Told to end; from a signal."""
+        self.leaving.begin(time.monotonic_ns())
+
+    def reload(self) -> None:
+        """Told of another configuration; from a signal. What is bad leaves the old one in force."""
+        try:
+            told = placement.read(self.environment)
+        except Malformed as problem:
+            self.note("reload-refused", level="error", problem=str(problem))
+            return
+        self.told = self.told._replace(coordinator=told.coordinator)
+        self.take_known(told)
+        self.following.move(told.coordinator)
+        self.note("reloaded", coordinator=str(told.coordinator))
+
+    def take_known(self, told: Placement) -> None:
+        for event in told.known:
+            self.following.known("", event)
+        self.following.numbers.last = max(self.following.numbers.last, told.known_last)
+
+    # Running.
+
+    def run(self) -> None:
+        """Serves until told to end and what is held has its answers. Raises OSError where it cannot listen."""
+        sock = listener(self.told.listen, shared=False)
+        self.door.looks.start()
+        self.take_known(self.told)
+        self.greenlets.spawn(self.following.run)
+        self.greenlets.spawn(self.door.accept, sock)
+        self.listening = sock
+        self.note("started", listen=str(self.told.listen), pid=os.getpid(), workers=len(self.links))
+        self.keep_time(lambda: self.stage() not in (Stage.STAYING, Stage.SERVING))
+        self.door.closing = True
+        sock.close()
+        self.note("draining", owed=self.desk.owed, connections=len(self.door.connections))
+        self.keep_time(lambda: self.stage() is Stage.DONE)
+        self.door.end()
+        for link in self.links.values():
+            link.stop()
+        self.greenlets.kill()
+        self.door.looks.stop()
+        self.note("ended", **self.state())
+
+    def stage(self) -> Stage:
+        return self.leaving.stage(time.monotonic_ns(), self.desk.owed)
+
+    def keep_time(self, over: Callable[[], bool]) -> None:
+        """The one timer: every tick, what is due; how late it comes tells how busy or stalled the process is."""
+        measured = looked = told = 0
+        for now, late in ticks(self.told.deployment.tick, over):
+            if late >= STALL:
+                self.stalls += 1
+                self.longest_stall = max(self.longest_stall, late)
+                # Time alone may send again: not before the coordinator's word that came meanwhile is read.
+                gevent.sleep(SETTLE / SECOND)
+                now = time.monotonic_ns()
+            if now - measured >= PERIOD:
+                measured = now
+                self.admission.measured(now, late)
+            if self.desk.due() <= now:
+                self.desk.tick(now)
+            self.door.tick(now)
+            if now - looked >= SECOND:
+                looked = now
+                self.told_of(self.membership.tick(now))
+                self.let_go_of_workers()
+                self.log.tick(now)
+            if now - told >= TELL:
+                told = now
+                self.note("state", **self.state())
+
+    def state(self) -> dict[str, Any]:
+        """How it goes, for one line of the log."""
+        dispatcher, now = self.desk.dispatcher, time.monotonic_ns()
+        workers = dispatcher.workers.values()
+        return {"owed": self.desk.owed, "held": len(self.desk.held), "connections": len(self.door.connections),
+                "flying": len(dispatcher.flying), "links": len(self.links),
+                "up": sum(link.up for link in self.links.values()),
+                "berths": sum(len(link.berths) for link in self.links.values()),
+                "ready": len(dispatcher.fleet), "suspended": sum(it.until > now for it in workers),
+                "functions": len(dispatcher.functions), "roster_lost": self.roster_lost,
+                "lag_ms": round(self.admission.lag / MS, 1), "part": round(self.admission.part, 3),
+                "stalls": self.stalls, "longest_stall_ms": self.longest_stall // MS,
+                "turned_away": self.door.tally.totals(), "counts": dict(self.desk.counts)}
--- /dev/null
+++ b/threadshift/node/placement.py
@@ -0,0 +1,106 @@
+"""What the platform tells a front end at its start: where it stands, what it may use, and the settings. Free of I/O
+but for reading the file. All that is wrong is `Malformed`, one line that names what and where."""
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from threadshift.conf import values
+from threadshift.conf.settings import Fields, Malformed, deployment, flat
+from threadshift.conf.values import Address
+from threadshift.fastcgi import room
+from threadshift.fastcgi.requests import LONGEST_BODY
+from threadshift.frames import berths
+from threadshift.frames.link import Told
+from threadshift.interface import MS, SECOND, Deployment
+
+LONGEST_FILE = 64 << 20    # bytes; a list of ten thousand workers takes a tenth
+TICK = 5 * MS              # pace of the timer; at the platform's finer one it would take a tenth of a core
+WRITE = SECOND             # without progress, until a worker that takes no bytes is broken off
+CALLS_PART = 6             # of memory, one part in so many is for bodies of calls under way, twice each
+BUFFER_PART = 1_024        # of memory, for bytes that wait for one connection of a worker
+BODY_PART = 64             # of memory, for the longest answer
+LEAST_MEMORY, LEAST_SOCKETS = 16, 32   # MB and descriptors; with less no front end runs
+
+
+class Placement(NamedTuple):
+    """One configuration, read and checked, and what is derived from it."""
+
+    name: str
+    listen: Address
+    seed: int
+    coordinator: Address
+    known: tuple[Any, ...]               # events so far, as the coordinator would send them
+    known_last: int                      # their last number
+    deployment: Deployment
+    connections: int                     # clients' connections
+    activations: int                     # calls under way
+    streams: int                         # sends on one connection to a worker
+    connect: int                         # ns
+    idle: int                            # ns
+    load_order: int                      # ns until an order to load counts as lost
+    sockets: int
+    memory: int                          # bytes
+    cores: float
+
+    def links(self, workers: int) -> Told:
+        """Bounds of the connections to one of so many workers."""
+        return Told(self.connect, WRITE, self.idle, self.streams, berths.share(self.sockets, workers),
+                    self.memory // BUFFER_PART + 2 * LONGEST_BODY, self.memory // BODY_PART)
+
+
+def read(environment: Mapping[str, str]) -> Placement:
+    """The placement that the environment and its file tell. Raises Malformed."""
+    path = environment.get("NODE_CONFIG", "")
+    if not path:
+        raise Malformed("NODE_CONFIG is not set: it names the file with the configuration")
+    try:
+        if os.stat(path).st_size > LONGEST_FILE:
+            raise Malformed(f"NODE_CONFIG: {path} is over {LONGEST_FILE} bytes")
+        with open(path, encoding="utf-8") as file:
+            told = json.load(file)
+    except OSError as problem:
+        raise Malformed(f"NODE_CONFIG: {path}: {problem.strerror}") from None
+    except (ValueError, RecursionError) as problem:
+        raise Malformed(f"{path}: not JSON: {str(problem)[:200]}") from None
+    return understand(told, environment, path)
+
+
+def understand(told: Any, environment: Mapping[str, str], path: str) -> Placement:
+    """Raises Malformed."""
+    if not isinstance(told, dict):
+        raise Malformed(f"{path}: an object is wanted")
+    for key, variable in (("name", "NODE_NAME"), ("listen", "NODE_LISTEN")):
+        if key not in told and variable in environment:
+            told[key] = environment[variable]
+    known = told.pop("known", None) or {}
+    updates = known.get("updates") if isinstance(known, dict) else None
+    if known and not isinstance(updates, list):
+        raise Malformed(f"{path}: known: updates is no list")
+    settings = told.pop("settings", None)
+    if not isinstance(settings, dict):
+        raise Malformed(f"{path}: settings is absent or no object")
+    try:
+        top = Fields("the configuration", flat(told), path)
+        fields = Fields("settings", flat(settings), path)
+    except ValueError as problem:
+        raise Malformed(f"{path}: {problem}") from None
+    deployed = deployment(fields)
+    if not deployed.types:
+        raise fields.wrong("has no lanes")
+    memory, sockets = top.number("limits.memory_mb", 192.0), top.whole("limits.sockets", 1024)
+    cores = top.number("limits.cores", 1.0)
+    if not memory >= LEAST_MEMORY or sockets < LEAST_SOCKETS or not cores > 0:
+        raise top.wrong(f"has limits of {cores:g} cores, {memory:g} MB and {sockets} sockets: too little to run")
+    size = int(memory) << 20
+    last = known.get("index", 0)
+    return Placement(
+        top.read("name", values.name), top.read("listen", values.address),
+        top.read("seed", lambda text: int(text, 16)), top.read("coordinator", values.address),
+        tuple(updates or ()), last if isinstance(last, int) else 0,
+        deployed._replace(tick=max(deployed.tick, TICK)), room.share(sockets),
+        max(16, size // CALLS_PART // LONGEST_BODY // 2), fields.whole("limits.streamsPerConn", 1),
+        fields.ns("limits.connectTimeout", 250 * MS), fields.ns("limits.connIdle", 30 * SECOND),
+        fields.ns("familyInfo.loadWait", 10 * SECOND) or 10 * SECOND, sockets, size, cores)
--- /dev/null
+++ b/threadshift/node/start.py
@@ -0,0 +1,45 @@
+"""Starts a front end by its environment, with its signals heard from the first moment."""
+from __future__ import annotations
+
+import signal
+import sys
+from collections.abc import Mapping
+
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+LOG_LINES = 500            # that wait for a slow reader: memory is short
+
+
+def main(environment: Mapping[str, str]) -> int:
+    """Serves until told to end; the exit code."""
+    # Held until there is somebody to hear them: a signal's default is to end the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    import gc
+
+    from threadshift.conf.settings import Malformed
+    from threadshift.node import placement
+    try:
+        told = placement.read(environment)
+    except Malformed as problem:
+        print(f"threadshift: {problem}", file=sys.stderr)
+        return 2
+    import gevent
+
+    from threadshift.log import Log
+    from threadshift.node.front import Node
+    log = Log("json", "info", LOG_LINES, front_end=told.name)
+    try:
+        node = Node(told, environment, log)
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(2_000, 50, 1_000)
+        gevent.signal_handler(signal.SIGTERM, node.end)
+        gevent.signal_handler(signal.SIGINT, node.end)
+        gevent.signal_handler(signal.SIGHUP, node.reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
+        node.run()
+    except OSError as problem:
+        print(f"threadshift: cannot listen at {told.listen}: {problem}", file=sys.stderr)
+        return 1
+    finally:
+        log.close()
+    return 0
