--- /dev/null
+++ b/tests/platform.py
@@ -0,0 +1,252 @@
+"""A front end on the platform with small stand-ins in one process: clients, workers of frames, a coordinator."""
+import json
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+from tests.live import ANY, Silent, free_port, until
+from threadshift.conf.values import Address
+from threadshift.fastcgi import codec
+from threadshift.fastcgi.codec import ABORT, BEGIN, BEGUN, END, KEEP, PARAMS, RESPONDER, STDIN, STDOUT, record, stream
+from threadshift.frames.codec import FROM_US, FROM_WORKER, HOLD, INVOKE, OK, Frames, encode
+from threadshift.links.sockets import listener
+from threadshift.node.front import Node
+from threadshift.node.placement import understand
+
+LANES = [dict(name="check", aim=280.0, giveUp=1000.0, effect="safe", worth=1.0, lateValue=0.3),
+         dict(name="submit", aim=240.0, giveUp=940.0, effect="unsafe", worth=2.0, lateValue=0.3)]
+SETTINGS = {
+    "lanes": LANES, "peersTotal": 1, "tick": 1.0, "zone": "a", "orgs": [],
+    "limits": {"maxAttempts": 4, "cancel": True, "retryAfter": True, "maxRetryAfter": 1000.0, "streamsPerConn": 32,
+               "connectTimeout": 250.0, "connIdle": 30000.0},
+    "familyInfo": {"placementCalls": True, "loadFree": 6.0, "loadRatio": 0.2, "loadWindow": 5000.0,
+                   "loadWait": 4000.0, "notLoaded": "load", "staysLoaded": 4750.0},
+    "rules": {"drainGrace": 1000.0, "coldShare": 0.2, "cold": 17000.0, "fallMultiple": 2.0, "overloadFor": 1000.0}}
+
+
+def configuration(**changes):
+    return {"name": "n0", "listen": "127.0.0.1:1", "seed": "0f", "coordinator": "127.0.0.1:1",
+            "limits": {"cores": 1.0, "memory_mb": 96, "sockets": 256}, "known": {"index": 0, "updates": []},
+            "settings": json.loads(json.dumps(SETTINGS))} | changes
+
+
+def instance(name, address, state="Ready", **facts):
+    return {"instanceId": name, "hostPort": str(address), "lifecycle": state, "zone": "a", "cell": 0, "weight": 1.0,
+            "startedAtMs": 0} | facts
+
+
+def event(index, *instances, full=False):
+    return {"index": index, "endpoints": {"generation": index, "reset": full, "instances": list(instances)}}
+
+
+class Server:
+    """Accepts; each connection is played by converse()."""
+
+    def __init__(self):
+        self.sock = listener(ANY, shared=False)
+        self.address = Address(*self.sock.getsockname())
+        self.open, self.greenlets = [], [gevent.spawn(self.accept)]
+
+    def accept(self):
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                return
+            self.open.append(sock)
+            self.greenlets.append(gevent.spawn(self.play, sock))
+
+    def play(self, sock):
+        try:
+            self.converse(sock)
+        except OSError:
+            pass
+        finally:
+            sock.close()
+
+    def stop(self):
+        self.sock.close()
+        gevent.killall(self.greenlets)
+        for sock in self.open:
+            sock.close()
+
+
+def serve(worker, sock, it):
+    """What a worker does that has every function: answers calls and orders."""
+    if it.code == INVOKE:
+        sock.sendall(encode(OK, it.id, "how=reused", b"did " + it.body, FROM_WORKER))
+    elif it.code == HOLD:
+        sock.sendall(encode(OK, it.id, "n=1", mark=FROM_WORKER))
+
+
+class Worker(Server):
+    """A worker played by a script, called with each frame that came."""
+
+    def __init__(self, script=serve):
+        super().__init__()
+        self.script, self.heard, self.news = script, [], Event()
+
+    def converse(self, sock):
+        cut = Frames(1 << 20, FROM_US)
+        while data := sock.recv(65536):
+            for it in cut.feed(data):
+                self.heard.append(it)
+                self.script(self, sock, it)
+
+    def codes(self, code):
+        return [it for it in self.heard if it.code == code]
+
+
+class Coordinator(Server):
+    """Serves the stream: `events` on connecting, then what say() is given; one that is dumb says nothing more."""
+
+    def __init__(self, events=()):
+        super().__init__()
+        self.events, self.asked, self.dumb = list(events), [], False
+
+    def converse(self, sock):
+        head = b""
+        while b"\r\n\r\n" not in head:
+            head += sock.recv(65536)
+        last = next(int(line.split(b":")[1]) for line in head.split(b"\r\n")
+                    if line.lower().startswith(b"last-event-id"))
+        self.asked.append(last)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+        for each in self.events:
+            if each["index"] > last:
+                sock.sendall(self.frame(each))
+        while not self.dumb:
+            sock.sendall(b": alive\n\n")
+            gevent.sleep(0.2)
+        gevent.sleep(60)
+
+    @staticmethod
+    def frame(it):
+        return f"id: {it['index']}\ndata: {json.dumps(it)}\n\n".encode()
+
+    def say(self, it):
+        self.events.append(it)
+        for sock in self.open:
+            try:
+                sock.sendall(self.frame(it))
+            except OSError:
+                pass
+
+
+class Client:
+    """A front's web server: one connection, requests under numbers."""
+
+    def __init__(self, address):
+        self.sock = socket.create_connection(tuple(address)[:2])
+        self.sock.settimeout(5)
+        self.records, self.parts, self.ended = codec.Records(), {}, {}
+
+    def send(self, data):
+        self.sock.sendall(data)
+
+    def ask(self, number=1, id_="00000000000000a1", body=b"x", type_="check", left="900", item="00000000000000f1",
+            **more):
+        self.send(request(number, id_, body, type_, left, item, **more))
+
+    def answer(self, number=1):
+        """(status, headers, body) of the next answer under this number; None where the connection ends first."""
+        while number not in self.ended:
+            data = self.sock.recv(65536)
+            if not data:
+                return None
+            for kind, at, content in self.records.feed(data):
+                if kind == STDOUT:
+                    self.parts[at] = self.parts.get(at, b"") + content
+                elif kind == END:
+                    self.ended[at] = self.parts.pop(at, b""), content[4]
+        content, status = self.ended.pop(number)
+        if status:
+            return status, {}, b""
+        head, _, body = content.partition(b"\r\n\r\n")
+        headers = dict(line.split(": ", 1) for line in head.decode().split("\r\n"))
+        return int(headers.pop("Status").split()[0]), headers, body
+
+    def abort(self, number=1):
+        self.send(record(ABORT, number))
+
+    def silent(self, seconds=0.2):
+        """Whether nothing comes for a while."""
+        self.sock.settimeout(seconds)
+        try:
+            return not self.sock.recv(1)
+        except TimeoutError:
+            return True
+        finally:
+            self.sock.settimeout(5)
+
+    def closed(self, seconds=3.0):
+        """Whether the other side closes in time, whatever it says before."""
+        self.sock.settimeout(seconds)
+        try:
+            while self.sock.recv(65536):
+                pass
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def close(self):
+        self.sock.close()
+
+
+def begin(number=1, role=RESPONDER, flags=KEEP):
+    return record(BEGIN, number, BEGUN.pack(role, flags))
+
+
+def params(number, told):
+    content = b"".join(codec.pair(name.encode(), value.encode("latin-1")) for name, value in told.items())
+    return stream(PARAMS, number, content)
+
+
+def request(number=1, id_="00000000000000a1", body=b"x", type_="check", left="900", item="00000000000000f1", **more):
+    told = {"SCRIPT_NAME": f"/ops/{type_}", "HTTP_X_JOB_ID": id_, "HTTP_X_ALLOW_MS": left, "HTTP_X_ITEM": item,
+            "HTTP_X_SIZE_MS": "8.2", "HTTP_X_SPEC": "memory_mb:512;lanes:2", **more}
+    told = {name: value for name, value in told.items() if value is not None}
+    return begin(number) + params(number, told) + stream(STDIN, number, body)
+
+
+class Platform:
+    """A running front end; started with `with`, and everything it started is ended with it."""
+
+    def __init__(self, scripts=(serve,), **changes):
+        self.workers = [Worker(script) for script in scripts]
+        self.coordinator = Coordinator([event(1, *(
+            instance(f"s-{n}", it.address) for n, it in enumerate(self.workers)), full=True)])
+        self.log = Silent()
+        self.address = Address("127.0.0.1", free_port())
+        self.told = understand(configuration(listen=str(self.address), coordinator=str(self.coordinator.address),
+                                             **changes), {}, "test")
+        self.environment = {}
+        self.node = Node(self.told, self.environment, self.log)
+        self.running, self.clients, self.extra = None, [], []
+
+    def __enter__(self):
+        self.running = gevent.spawn(self.node.run)
+        until(lambda: self.node.links and all(link.up for link in self.node.links.values()) or (
+            not self.workers and self.node.listening))
+        return self
+
+    def __exit__(self, *_):
+        for client in self.clients:
+            client.close()
+        self.node.leaving.since = 1     # long ago: nothing comes any more
+        self.running.join(10)
+        for server in [self.coordinator, *self.workers, *self.extra]:
+            server.stop()
+
+    def client(self):
+        it = Client(self.address)
+        self.clients.append(it)
+        return it
+
+    def call(self, **facts):
+        client = self.client()
+        client.ask(**facts)
+        return client.answer()
--- /dev/null
+++ b/tests/test_frames.py
@@ -0,0 +1,93 @@
+import unittest
+from types import SimpleNamespace as Of
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from threadshift.frames import berths
+from threadshift.frames.codec import ERROR, FINE, FROM_WORKER, HEAD, OK, Frames, Refused, encode, understand
+from threadshift.interface import SECOND
+
+ID = bytes(range(8))
+
+
+class Codec(unittest.TestCase):
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(st.lists(st.binary(max_size=60), max_size=8), st.lists(st.integers(1, 40), max_size=30))
+    def test_any_cut_of_the_stream_gives_the_same_answers(self, bodies, cuts):
+        data = b"".join(encode(OK, ID, "how=reused,same=2", body, FROM_WORKER) for body in bodies)
+        it, got, at = Frames(1 << 16), [], 0
+        for size in [*cuts, len(data)]:
+            got += it.feed(data[at:at + size])
+            at += size
+        self.assertEqual([answer.body for answer in got], bodies)
+        self.assertTrue(all(answer.fields == {"how": "reused", "same": "2"} for answer in got))
+        self.assertFalse(it.torn)
+
+    @settings(max_examples=400, deadline=None, derandomize=True)
+    @given(st.binary(max_size=120), st.sampled_from((OK, ERROR, FINE, 10, 255)))
+    def test_any_bytes_are_answers_or_refused(self, data, code):
+        for stream in (data, bytes((FROM_WORKER, code)) + data, encode(code, ID, "", data, FROM_WORKER)[:-1] + data):
+            try:
+                Frames(1 << 10).feed(stream)
+            except Refused as problem:
+                self.assertTrue(str(problem))
+
+    def test_what_is_wrong_is_named_and_what_stood_before_is_kept(self):
+        good = encode(OK, ID, "", b"good", FROM_WORKER)
+        cases = (
+            (encode(OK, ID), "mark 1"), (encode(10, ID, mark=FROM_WORKER), "code 10"),
+            (HEAD.pack(FROM_WORKER, OK, 0, 3 << 30, ID), "over the bound"), (good[:-1] + b"?", "check"),
+            (encode(OK, ID, "how", mark=FROM_WORKER), "is no field"),
+            (encode(OK, ID, "a=1,a=2", mark=FROM_WORKER), "stands twice"),
+            (encode(OK, ID, ",".join(["a=1"] * 70), mark=FROM_WORKER), "70 fields"))
+        for data, words in cases:
+            with self.assertRaises(Refused) as caught:
+                Frames(1 << 10).feed(good + data)
+            self.assertIn(words, str(caught.exception))
+            self.assertEqual([each.body for each in caught.exception.before], [b"good"])
+
+    def test_fields(self):
+        self.assertEqual(understand(b"stats=inflight:7;util:0.61,how=init"),
+                         {"stats": "inflight:7;util:0.61", "how": "init"})
+        self.assertEqual(understand(b""), {})
+        with self.assertRaises(Refused):
+            understand(b"\xff=1")
+
+
+def berth(waiting=0, proven=True, doubted=False, used=()):
+    return Of(waiting=dict.fromkeys(range(waiting)), proven=proven, doubted=doubted, used=dict.fromkeys(used))
+
+
+class Berths(unittest.TestCase):
+    def test_the_least_busy_one_carries_the_next_and_a_proven_one_first(self):
+        new, proven, busy = berth(proven=False), berth(), berth(2)
+        self.assertIs(berths.fit([busy, new, proven], ID, 32), proven)
+        self.assertIs(berths.fit([busy, new], ID, 32), new)
+        self.assertIsNone(berths.fit([busy], ID, 2))
+        self.assertIsNone(berths.fit([berth(doubted=True)], ID, 32))
+
+    def test_an_id_goes_over_a_connection_once(self):
+        # Found by reading: a second copy of a 'miss' would be taken for the answer of the send after it.
+        other = berth(3)
+        self.assertIs(berths.fit([berth(used=[ID]), other], ID, 32), other)
+        self.assertIsNone(berths.fit([berth(used=[ID])], ID, 32))
+
+    def test_another_is_dialled_when_none_is_free(self):
+        for kept, dialling, wanted in (([berth(1)], 0, True), ([berth(1), berth()], 0, False), ([berth(1)], 1, False),
+                                       ([berth(1)] * 4, 0, False), ([berth(doubted=True)], 0, True)):
+            self.assertEqual(berths.another(kept, dialling, 4), wanted)
+
+    def test_silence_since_a_send_left_is_doubt(self):
+        self.assertTrue(berths.doubt(heard=4, left=5))
+        self.assertFalse(berths.doubt(heard=6, left=5))
+
+    def test_an_idle_one_is_left_alone_before_the_worker_closes_it(self):
+        self.assertFalse(berths.stale(28 * SECOND, 0, 30 * SECOND))
+        self.assertTrue(berths.stale(30 * SECOND, 0, 30 * SECOND))
+
+    def test_the_share_leaves_room_for_clients(self):
+        for sockets, workers in ((256, 12), (256, 200), (1024, 12), (64, 1)):
+            each = berths.share(sockets, workers)
+            self.assertGreaterEqual(each, 1)
+            self.assertLessEqual(each * workers, max(workers, sockets // 4))
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,403 @@
+import json
+import os
+import tempfile
+import unittest
+from types import SimpleNamespace as Of
+
+import gevent
+
+from tests.live import until
+from tests.platform import (
+    Client, Coordinator, Platform, Worker, begin, configuration, event, instance, params, request, serve)
+from threadshift.conf.settings import Malformed
+from threadshift.fastcgi.codec import ABORT, GET_VALUES, HEAD, STDIN, pair, record, stream
+from threadshift.frames.codec import ERROR, FROM_WORKER, FULL, GIVE_UP, HOLD, INVOKE, MISS, OK, OVER, encode
+from threadshift.interface import MS, SECOND
+from threadshift.node import placement
+from threadshift.node.leaving import Leaving, Stage
+
+A = "00000000000000a1"
+
+
+def answers(code, fields="", body=b"", after=b""):
+    """A worker that answers calls so."""
+    def script(worker, sock, it):
+        if it.code == INVOKE:
+            sock.sendall(encode(code, it.id, fields, body, FROM_WORKER) + after)
+    return script
+
+
+def raw(make):
+    """A worker that answers each call with these bytes."""
+    def script(worker, sock, it):
+        if it.code == INVOKE:
+            sock.sendall(make(it))
+    return script
+
+
+def silent(worker, sock, it):
+    pass
+
+
+class Service(unittest.TestCase):
+    def test_a_call_goes_through_unchanged(self):
+        with Platform() as it:
+            body = bytes(range(256)) * 64
+            self.assertEqual(it.call(body=body), (200, {"Content-Type": "application/octet-stream"}, b"did " + body))
+            frame = it.workers[0].codes(INVOKE)[0]
+            self.assertEqual((frame.id.hex(), frame.fields["class"], frame.fields["key"], frame.body),
+                             (A, "check", "00000000000000f1", body))
+            self.assertLess(int(frame.fields["wait"]), 901)
+            self.assertEqual(it.call(id_="00000000000000a2", body=b"")[0], 200)
+
+    def test_many_at_once_on_one_connection_in_any_order_of_answers(self):
+        def late(worker, sock, it):
+            if it.code == INVOKE:
+                gevent.spawn_later(0.002 * (32 - it.body[0]), serve, worker, sock, it)
+        with Platform([late, late]) as it:
+            client = it.client()
+            data = b"".join(request(n + 1, f"{n:016x}", bytes((n,)), HTTP_X_SPEC="lanes:64") for n in range(32))
+            for at in range(0, len(data), 700):
+                client.send(data[at:at + 700])
+            for n in range(32):
+                self.assertEqual(client.answer(n + 1)[2], b"did " + bytes((n,)))
+            client.ask(1, "00000000000000ff")       # the number is free again
+            self.assertEqual(client.answer(1)[0], 200)
+
+    def test_alive_is_told_while_it_can_serve(self):
+        with Platform() as it:
+            def alive():
+                client = it.client()
+                client.send(begin() + params(1, {"SCRIPT_NAME": "/alive"}) + stream(STDIN, 1, b""))
+                return client.answer()[0]
+            self.assertEqual(alive(), 200)
+            it.node.end()
+            self.assertEqual(alive(), 503)
+        with Platform([]) as it:
+            client = it.client()
+            client.send(begin() + params(1, {"SCRIPT_NAME": "/alive"}) + stream(STDIN, 1, b""))
+            self.assertEqual(client.answer()[0], 503)
+
+    def test_ends_as_they_go_to_clients(self):
+        for script, type_, wanted in (
+                (answers(OK, "how=init,stats=inflight:7;util:0.6", b"r"), "submit", 200),
+                (answers(ERROR), "submit", 502), (answers(FULL), "submit", 503), (answers(MISS, "how=init_error"), "submit", 503),
+                (answers(OVER), "submit", 503), (answers(ERROR), "check", 503)):
+            with Platform([script]) as it:
+                status, headers, _ = it.call(type_=type_, left="300")
+                self.assertEqual(status, wanted)
+                self.assertEqual("X-Wait-Ms" in headers, status == 503)
+
+    def test_a_client_that_leaves_has_its_call_given_up(self):
+        with Platform([silent]) as it:
+            client = it.client()
+            client.ask()
+            until(lambda: it.workers[0].codes(INVOKE))
+            client.abort()
+            until(lambda: it.workers[0].codes(GIVE_UP))
+            self.assertEqual(it.workers[0].codes(GIVE_UP)[0].id.hex(), A)
+            # Under the same number, the next one gets its own answer and nothing of the old one's.
+            it.workers[0].script = serve
+            client.ask(id_="00000000000000a2", body=b"new")
+            self.assertEqual(client.answer()[2], b"did new")
+            self.assertTrue(client.silent())
+
+    def test_a_send_whose_time_is_up_is_given_up_and_answered_before(self):
+        with Platform([silent]) as it:
+            self.assertEqual(it.call(type_="submit", left="80")[0], 502)
+            until(lambda: it.workers[0].codes(GIVE_UP))
+            until(lambda: not it.node.desk.held)
+            self.assertFalse(it.node.links["s-0"].ways)
+
+    def test_an_answer_that_crosses_its_end_is_not_the_next_sends(self):
+        # A second copy of a 'full' would end the send after it as never run.
+        def script(worker, sock, it):
+            if it.code == INVOKE and not worker.codes(INVOKE)[1:]:
+                sock.sendall(encode(FULL, it.id, mark=FROM_WORKER))
+                gevent.spawn_later(0.03, sock.sendall, encode(FULL, it.id, mark=FROM_WORKER))
+            elif it.code == INVOKE:
+                gevent.spawn_later(0.1, serve, worker, sock, it)
+        with Platform([script]) as it:
+            link, ends = it.node.links["s-0"], []
+            call = Of(type="submit", function="00000000000000f1", body=b"x")
+            held = Of(ivk=A, call=call, returned=lambda now, number, outcome, **_: ends.append((number, outcome)))
+            self.assertIsNone(link.invoke(held, 0, SECOND))
+            until(lambda: len(ends) == 1)
+            self.assertIsNone(link.invoke(held, 1, SECOND))
+            until(lambda: len(ends) == 2)
+            self.assertEqual([outcome.value for _, outcome in ends], ["full", "completed"])
+
+
+class BadClients(unittest.TestCase):
+    def test_each_is_refused_in_time_and_none_reaches_a_worker(self):
+        good = request()
+        cases = {
+            "noise": b"\xff" * 100, "version": b"\x02" + good[1:], "begin too short": record(1, 1, b"x"),
+            "role": begin(role=9), "number 0": HEAD.pack(1, STDIN, 0, 0, 0), "begun twice": begin() + begin(),
+            "parameters": begin() + record(4, 1, b"\x7f\x7fab") + record(4, 1) + record(5, 1),
+            "body first": begin() + record(STDIN, 1, b"x"), "answers of ours": begin() + record(6, 1, b"x"),
+            "endless parameters": begin() + record(4, 1, b"x" * 60_000) * 2, "class": request(type_="dance"),
+            "no id": request(id_=None), "id": request(id_="xyz"), "left": request(left="-1"),
+            "huge": request(left="1e99"), "not a number": request(left="nan"), "body": request(body=b"x" * 20_000),
+            "length": request(CONTENT_LENGTH="-7"), "spec": request(HTTP_X_SPEC="lanes:nan"),
+            "half": good[:60], "silent": b"", "withdrawn": begin() + record(ABORT, 1), "hint": request(
+                HTTP_X_SIZE_MS="inf")}
+        with Platform() as it:
+            clients = {}
+            for name, data in cases.items():
+                clients[name] = it.client()
+                clients[name].send(data)
+
+            def outcome(client):
+                try:
+                    return client.answer()
+                except OSError:
+                    return None
+            with gevent.Timeout(2.9, AssertionError("not refused in time")):
+                for name, client in clients.items():
+                    got = outcome(client)
+                    self.assertTrue(got is None or got[0] != 200, (name, got))
+            self.assertEqual(it.workers[0].codes(INVOKE), [])
+            self.assertEqual(it.call()[0], 200)
+
+    def test_sixty_megabytes_are_neither_kept_nor_waited_for(self):
+        with Platform() as it:
+            client = it.client()
+            client.send(begin() + params(1, {"SCRIPT_NAME": "/ops/check"}) + record(STDIN, 1, bytes(60_000)))
+            self.assertEqual(client.answer()[0], 413)
+            try:
+                for _ in range(1000):
+                    client.send(record(STDIN, 1, bytes(60_000)))
+            except OSError:
+                pass
+            self.assertTrue(client.closed())
+
+    def test_the_second_use_of_an_open_id_touches_nothing_of_the_first(self):
+        def late(worker, sock, it):
+            gevent.spawn_later(0.1, serve, worker, sock, it)
+        with Platform([late]) as it:
+            first, second = it.client(), it.client()
+            first.ask(body=b"one")
+            until(lambda: it.workers[0].codes(INVOKE))
+            second.ask(body=b"two")
+            self.assertEqual(second.answer()[0], 409)
+            self.assertEqual(first.answer()[2], b"did one")
+            self.assertEqual(len(it.workers[0].codes(INVOKE)), 1)
+
+    def test_more_than_may_be_open_are_refused_and_the_rest_is_served(self):
+        def late(worker, sock, it):
+            gevent.spawn_later(0.1, serve, worker, sock, it)
+        with Platform([late]) as it:
+            client = it.client()
+            client.send(b"".join(request(n + 1, f"{n:016x}", HTTP_X_SPEC="lanes:64") for n in range(40)))
+            got = [client.answer(n + 1)[0] for n in range(40)]
+            self.assertEqual(got, [200] * 32 + [503] * 8)
+
+    def test_values_and_unknown_types_are_answered(self):
+        with Platform() as it:
+            client = it.client()
+            client.send(record(GET_VALUES, 0, pair(b"FCGI_MPXS_CONNS", b"")))
+            self.assertIn(b"FCGI_MPXS_CONNS1", client.sock.recv(100))
+            client.send(record(77, 0, b"x"))
+            self.assertEqual(client.sock.recv(100)[1], 11)
+
+    def test_silent_connections_make_room_for_who_asks(self):
+        with Platform(limits={"cores": 1.0, "memory_mb": 96, "sockets": 32}) as it:
+            quiet = [it.client() for _ in range(it.told.connections)]
+            until(lambda: len(it.node.door.connections) == len(quiet))
+            gevent.sleep(0.03)
+            self.assertEqual(it.call()[0], 200)
+
+
+class BadWorkers(unittest.TestCase):
+    def test_what_cannot_be_trusted_is_never_served(self):
+        good = encode(OK, bytes.fromhex(A), "how=reused", b"right", FROM_WORKER)
+        cases = {"noise": b"\x07" * 40, "check": good[:-1] + bytes((good[-1] ^ 1,)), "mark": b"\x01" + good[1:],
+                 "code": good[:1] + b"\x63" + good[2:],
+                 "fields": encode(OK, bytes.fromhex(A), "how", b"", FROM_WORKER), "3 GB": HEAD_OF_3_GB, "cut off": good[:-3]}
+        for name, data in cases.items():
+            def script(worker, sock, it, data=data, name=name):
+                if it.code == INVOKE:
+                    sock.sendall(data)
+                    if name == "cut off":
+                        sock.close()
+            with Platform([script]) as it:
+                # It may have run, so a once-only call is neither sent again nor rejected.
+                self.assertEqual(it.call(type_="submit")[0], 502, name)
+                self.assertEqual(len(it.workers[0].codes(INVOKE)), 1, name)
+                until(lambda it=it: it.log.of("link-broke"))
+
+    def test_more_than_belongs_to_an_answer_is_dropped(self):
+        for make in (lambda it: encode(OK, bytes(8), "", b"whose", FROM_WORKER) + encode(
+                        OK, it.id, "", b"right", FROM_WORKER),
+                     lambda it: encode(OK, it.id, "", b"right", FROM_WORKER) * 2):
+            with Platform([raw(make)]) as it:
+                self.assertEqual(it.call()[2], b"right")
+                self.assertEqual(it.call(id_="00000000000000a2")[2], b"right")
+                self.assertEqual(it.log.of("link-broke"), [])
+
+    def test_a_good_answer_ahead_of_a_spoilt_one_is_served(self):
+        with Platform([raw(lambda it: encode(OK, it.id, "", b"right", FROM_WORKER) + b"\x09" * 30)]) as it:
+            self.assertEqual(it.call()[2], b"right")
+            until(lambda: it.log.of("link-broke"))
+
+    def test_a_break_under_a_once_only_call_is_its_end_and_a_repeatable_one_goes_on(self):
+        def reset(worker, sock, it):
+            if it.code == INVOKE:
+                sock.close()
+        with Platform([reset, reset, serve]) as it:
+            self.assertIn(it.call(type_="submit", item="00000000000000f3")[0], (200, 502))
+            self.assertEqual(sum(len(worker.codes(INVOKE)) for worker in it.workers), 1)
+            self.assertIn(it.call(id_="00000000000000a2")[0], (200, 503))
+
+    def test_a_worker_that_is_gone_is_never_run_on(self):
+        with Platform([serve]) as it:
+            it.workers[0].stop()
+            until(lambda: not it.node.links["s-0"].up)
+            self.assertEqual(it.call(type_="submit", left="300")[0], 503)
+
+    def test_an_idle_connection_that_was_closed_is_not_written_on(self):
+        with Platform([serve]) as it:
+            self.assertEqual(it.call(type_="submit")[0], 200)
+            for sock in it.workers[0].open:
+                sock.close()
+            self.assertEqual(it.call(id_="00000000000000a2", type_="submit")[0], 200)
+
+    def test_load_orders_leave_at_once_or_not_at_all(self):
+        with Platform([silent]) as it:
+            link, ends = it.node.links["s-0"], []
+            asked = Of(fn="00000000000000f1", answered=lambda now, outcome, **_: ends.append(outcome.value))
+            self.assertIsNone(link.order(asked))
+            until(lambda: it.workers[0].codes(HOLD))
+            self.assertEqual(it.workers[0].codes(HOLD)[0].fields, {"key": "00000000000000f1", "n": "1"})
+            it.workers[0].stop()
+            until(lambda: ends == ["reset"])
+            self.assertEqual(link.order(asked).value, "unreachable")
+
+
+HEAD_OF_3_GB = bytes((FROM_WORKER, OK)) + bytes(2) + (3 << 30).to_bytes(4, "big") + bytes.fromhex(A)
+
+
+class Word(unittest.TestCase):
+    def test_the_coordinator_is_followed_over_breaks_and_repeats(self):
+        with Platform([serve]) as it:
+            until(lambda: it.coordinator.asked == [0])
+            other = Worker()
+            it.extra.append(other)
+            it.coordinator.open[-1].sendall(it.coordinator.frame(event(2, instance("s-9", other.address)))[:40])
+            it.coordinator.open[-1].shutdown(2)
+            it.coordinator.events.append(event(2, instance("s-9", other.address)))
+            until(lambda: "s-9" in it.node.links)
+            self.assertEqual(it.coordinator.asked[1:], [1])
+            it.coordinator.say(event(2, instance("s-8", other.address)))
+            it.coordinator.say(event(3, instance("s-9", other.address, "Terminating")))
+            until(lambda: not it.node.desk.dispatcher.workers["s-9"].ready)
+            self.assertNotIn("s-8", it.node.links)
+
+    def test_a_new_worker_at_the_address_of_one_that_is_gone(self):
+        with Platform([serve]) as it:
+            at = it.workers[0].address
+            it.coordinator.say(event(2, instance("s-0", at, "Gone"), instance("s-7", at)))
+            until(lambda: "s-7" in it.node.links and it.node.links["s-7"].up)
+            self.assertEqual(it.call()[0], 200)
+            until(lambda: "s-0" not in it.node.links)
+
+    def test_silence_has_the_stream_dialled_anew(self):
+        with Platform([serve]) as it:
+            it.coordinator.dumb = True
+            until(lambda: len(it.coordinator.asked) > 1)
+            self.assertTrue(it.node.roster_lost)
+
+    def test_another_configuration_moves_the_stream_and_a_bad_one_does_not(self):
+        with Platform([serve]) as it, tempfile.NamedTemporaryFile("w") as file:
+            other = Coordinator([event(2, instance("s-0", it.workers[0].address, "Terminating"))])
+            it.extra.append(other)
+            it.environment["NODE_CONFIG"] = file.name
+            for text in ("{", json.dumps(configuration(coordinator="nowhere"))):
+                file.seek(0)
+                file.truncate()
+                file.write(text)
+                file.flush()
+                it.node.reload()
+            self.assertEqual(len(it.log.of("reload-refused")), 2)
+            file.seek(0)
+            file.truncate()
+            file.write(json.dumps(configuration(coordinator=str(other.address))))
+            file.flush()
+            it.node.reload()
+            until(lambda: not it.node.desk.dispatcher.workers["s-0"].ready)
+            self.assertEqual(other.asked, [1])
+
+
+class Ending(unittest.TestCase):
+    def test_it_serves_on_after_the_word_and_answers_what_it_owes(self):
+        def late(worker, sock, it):
+            if it.code == INVOKE:
+                gevent.spawn_later(0.5, serve, worker, sock, it)
+        with Platform([late]) as it:
+            kept = it.client()
+            it.node.end()
+            gevent.sleep(0.6)
+            fresh = Client(it.address)              # still let in
+            fresh.ask(left="950")
+            until(lambda: it.workers[0].codes(INVOKE))
+            until(lambda: it.node.door.closing)
+            kept.ask(id_="00000000000000a2")
+            self.assertEqual(kept.answer()[0], 503)
+            self.assertEqual(fresh.answer()[0], 200)
+            it.running.join(3)
+            self.assertTrue(it.running.ready())
+            self.assertRaises(OSError, Client, it.address)
+            fresh.close()
+
+    def test_stages(self):
+        it = Leaving(10 * SECOND)
+        self.assertIs(it.stage(5, 9), Stage.STAYING)
+        it.begin(SECOND)
+        it.begin(2 * SECOND)
+        self.assertIs(it.stage(SECOND + 700 * MS, 0), Stage.SERVING)
+        self.assertIs(it.stage(2 * SECOND, 1), Stage.CLOSED)
+        self.assertIs(it.stage(2 * SECOND, 0), Stage.CLOSED)
+        self.assertIs(it.stage(2 * SECOND + 60 * MS, 0), Stage.DONE)
+        self.assertIs(it.stage(5 * SECOND, 1), Stage.DONE)     # well before it is killed
+
+
+class Told(unittest.TestCase):
+    def test_what_is_wrong_is_one_line_that_names_it(self):
+        good = configuration()
+        broken = json.loads(json.dumps(good["settings"]))
+        broken["lanes"][0]["effect"] = "magic"
+        cases = (
+            ({}, "NODE_CONFIG is not set"), (["/nowhere/at/all"], "No such file"), ("{", "not JSON"),
+            ("[1]", "object"),
+            (good | {"settings": None}, "settings"), (good | {"settings": broken}, "lanes.0.effect=magic"),
+            (good | {"listen": "x"}, "listen=x"), (good | {"seed": "xyz"}, "seed"),
+            (good | {"coordinator": "127.0.0.1"}, "coordinator"), (good | {"limits": {"memory_mb": 1}}, "too little"),
+            (good | {"known": {"index": 1, "updates": 3}}, "updates"), (good | {"settings": {"lanes": []}}, "lanes"))
+        for told, words in cases:
+            with tempfile.NamedTemporaryFile("w") as file:
+                file.write(told if isinstance(told, str) else json.dumps(told))
+                file.flush()
+                environment = {} if told == {} else {"NODE_CONFIG": told[0] if isinstance(told, list) else file.name}
+                with self.assertRaises(Malformed, msg=words) as caught:
+                    placement.read(environment)
+                self.assertIn(words, str(caught.exception))
+                self.assertNotIn("\n", str(caught.exception))
+
+    def test_bounds_follow_the_limits(self):
+        for memory, sockets in ((32, 256), (96, 256), (192, 1024)):
+            it = placement.understand(configuration(limits={"memory_mb": memory, "sockets": sockets}), {}, "f")
+            each = it.links(12)
+            self.assertLess(it.connections + 12 * each.most, sockets - 32)
+            self.assertGreaterEqual(it.connections, sockets // 3)
+            self.assertLess(it.activations * 2 * (16 << 10), it.memory // 4)
+
+    def test_what_was_known_at_the_start_counts_at_once(self):
+        with Platform([]) as it:
+            pass
+        told = placement.understand(configuration(known={"index": 3, "updates": [
+            event(1, instance("s-0", "127.0.0.1:9"), full=True), event(3, instance("s-0", "127.0.0.1:9", "Gone"))]}),
+            {}, "f")
+        it.node.take_known(told)
+        self.assertEqual(it.node.following.numbers.last, 3)
+        self.assertEqual(os.path.basename(told.name), "n0")
