--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -81,7 +81,8 @@
     def test_ends_as_they_go_to_clients(self):
         for script, type_, wanted in (
                 (answers(OK, "how=init,stats=inflight:7;util:0.6", b"r"), "submit", 200),
-                (answers(ERROR), "submit", 502), (answers(FULL), "submit", 503), (answers(MISS, "how=init_error"), "submit", 503),
+                (answers(ERROR), "submit", 502), (answers(FULL), "submit", 503),
+                (answers(MISS, "how=init_error"), "submit", 503),
                 (answers(OVER), "submit", 503), (answers(ERROR), "check", 503)):
             with Platform([script]) as it:
                 status, headers, _ = it.call(type_=type_, left="300")
@@ -214,7 +215,8 @@
         good = encode(OK, bytes.fromhex(A), "how=reused", b"right", FROM_WORKER)
         cases = {"noise": b"\x07" * 40, "check": good[:-1] + bytes((good[-1] ^ 1,)), "mark": b"\x01" + good[1:],
                  "code": good[:1] + b"\x63" + good[2:],
-                 "fields": encode(OK, bytes.fromhex(A), "how", b"", FROM_WORKER), "3 GB": HEAD_OF_3_GB, "cut off": good[:-3]}
+                 "fields": encode(OK, bytes.fromhex(A), "how", b"", FROM_WORKER), "3 GB": HEAD_OF_3_GB,
+                 "cut off": good[:-3]}
         for name, data in cases.items():
             def script(worker, sock, it, data=data, name=name):
                 if it.code == INVOKE:
