Node: calls are given up 3 ms before their time, not 10; an idle loop counts as prompt

What falls due between two ticks of the timer now has a tick of its own, and Looks tells a wait from work.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,6 +1,7 @@
 import json
 import os
 import tempfile
+import time
 import unittest
 from types import SimpleNamespace as Of
 
@@ -13,8 +14,10 @@
 from threadshift.fastcgi.codec import ABORT, GET_VALUES, HEAD, STDIN, pair, record, stream
 from threadshift.frames.codec import ERROR, FROM_WORKER, FULL, GIVE_UP, HOLD, INVOKE, MISS, OK, OVER, encode
 from threadshift.interface import MS, SECOND
+from threadshift.invoke.looks import Looks
 from threadshift.node import placement
 from threadshift.node.leaving import Leaving, Stage
+from threadshift.timer import ticks
 
 A = "00000000000000a1"
 
@@ -364,6 +367,27 @@
         self.assertIs(it.stage(5 * SECOND, 1), Stage.DONE)     # well before it is killed
 
 
+class Unread(unittest.TestCase):
+    def test_only_what_may_have_lain_unread_counts_off(self):
+        # A call of 70 ms lost 5 of them to a loop that had stood idle.
+        looks, now = Looks(), 100 * MS
+        for before, idle, last, wanted in (
+                (90, 91, 96, 4), (90, 99, 99, 10), (20, 91, 96, 4), (20, 21, 99, 80), (90, 98, 98, 10)):
+            looks.before, looks.idle, looks.last = before * MS, idle * MS, last * MS
+            self.assertEqual(looks.unread(now), wanted * MS)
+        looks.stop()
+        self.assertEqual(looks.unread(now), 0)
+
+    def test_what_falls_due_between_two_ticks_has_one_of_its_own(self):
+        due = [time.monotonic_ns() + 8 * MS]
+        came = []
+        for now, _ in ticks(50 * MS, lambda: len(came) == 2, lambda: due[0]):
+            came.append(now)
+            due[0] = now + SECOND
+        self.assertLess(came[0] - due[0] + SECOND, 25 * MS)
+        self.assertGreater(came[1] - came[0], 25 * MS)
+
+
 class Told(unittest.TestCase):
     def test_what_is_wrong_is_one_line_that_names_it(self):
         good = configuration()
--- a/threadshift/invoke/looks.py
+++ b/threadshift/invoke/looks.py
@@ -13,6 +13,8 @@
 from threadshift.interface import MS
 
 STALL = 100 * MS           # a timer so late, or a call unread so long, means that the process stood still
+STOOD = 10 * MS            # in one wait for something to read: the timer bounds it to half of that, so we stood still
+WAITED = MS // 4           # between its last work and a look: the loop stood idle, what it found came just then
 SETTLE = 10 * MS           # after that, until all that came meanwhile is read: several rounds of the loop
 
 
@@ -20,20 +22,30 @@
     """The last two looks of this thread's loop; start() begins to note them."""
 
     def __init__(self) -> None:
-        self.before = self.last = 0
-        self.watcher = gevent.get_hub().loop.check()
+        self.before = self.last = self.idle = 0
+        loop = gevent.get_hub().loop
+        self.watcher, self.watcher_idle = loop.check(), loop.prepare(priority=loop.MINPRI)
 
     def start(self) -> None:
-        self.before = self.last = time.monotonic_ns()
+        self.before = self.last = self.idle = time.monotonic_ns()
         self.watcher.start(self.looked)
+        self.watcher_idle.start(self.waits)
 
     def stop(self) -> None:
         self.watcher.stop()
+        self.watcher_idle.stop()
         self.before = self.last = 0
 
+    def waits(self) -> None:
+        """The loop has nothing left to do and waits for something to read, or looks in passing."""
+        self.idle = time.monotonic_ns()
+
     def looked(self) -> None:
         self.before, self.last = self.last, time.monotonic_ns()
 
     def unread(self, now: int) -> int:
-        """ns for which what is read now may have waited; 0 while looks are not noted."""
-        return now - self.before if self.before else 0
+        """ns for which what is read now may have waited; 0 while looks are not noted. A loop that waited found it
+        as it came: counted from the look before, a call of 70 ms would lose a tenth of its time for nothing."""
+        if not self.before:
+            return 0
+        return now - (self.last if WAITED <= self.last - self.idle < STOOD else self.before)
--- a/threadshift/node/front.py
+++ b/threadshift/node/front.py
@@ -34,6 +34,7 @@
 from threadshift.roster.membership import Entry
 from threadshift.timer import ticks
 
+TICK = 5 * MS              # pace of the timer; what falls due between two ticks has one of its own
 TELL = 10 * SECOND         # between two lines on how it goes
 
 
@@ -131,7 +132,7 @@
     def keep_time(self, over: Callable[[], bool]) -> None:
         """The one timer: every tick, what is due; how late it comes tells how busy or stalled the process is."""
         measured = looked = told = 0
-        for now, late in ticks(self.told.deployment.tick, over):
+        for now, late in ticks(TICK, over, self.desk.due):
             if late >= STALL:
                 self.stalls += 1
                 self.longest_stall = max(self.longest_stall, late)
--- a/threadshift/node/placement.py
+++ b/threadshift/node/placement.py
@@ -17,7 +17,7 @@
 from threadshift.interface import MS, SECOND, Deployment
 
 LONGEST_FILE = 64 << 20    # bytes; a list of ten thousand workers takes a tenth
-TICK = 5 * MS              # pace of the timer; at the platform's finer one it would take a tenth of a core
+TICK = 3 * MS // 2         # ns; twice that before its time is up a call is given up: an answer takes so long to leave
 WRITE = SECOND             # without progress, until a worker that takes no bytes is broken off
 CALLS_PART = 6             # of memory, one part in so many is for bodies of calls under way, twice each
 BUFFER_PART = 1_024        # of memory, for bytes that wait for one connection of a worker
