--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -527,6 +527,18 @@
                 number += len(places)
         self.assertEqual([worker.name for worker in it.fleet if worker.until > 8 * MS], [])
 
+    def test_a_name_that_nobody_serves_uses_up_no_more_than_one_further_send(self):
+        # Found on a day with bad clients: names made up were tried on four workers each, and the budget for calls
+        # whose workers really failed was gone.
+        it = front_end(8)
+        serve(it, "real", ivk="first")
+        for fn, sends in (("made-up", 2), ("real", 4)):
+            act, steps = call(it, fn, fn=fn, now=SECOND)
+            it.budget = 10.0
+            while sent(steps):
+                steps = act.returned(SECOND, len(act.sends) - 1, Outcome.ERROR, MS)
+            self.assertEqual((len(act.sends), does(steps)[-1]), (sends, Do.REJECT))
+
     def test_a_worker_that_fails_what_others_serve_is_suspended(self):
         it = front_end(4)
         for n in range(6):
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -442,6 +442,9 @@
             self.close(act, None)
         elif act.answered or act.out or act.begun:
             return
+        elif outcome is Outcome.ERROR and len(act.risky) > 1 and not fn.served:
+            # Nobody has ever completed it, two workers failed it: names made up would use up what may be sent again.
+            self.give_up(act, now)
         elif outcome is Outcome.MISS and not self.loads_itself and copy is not Copy.LOAD_FAILED and (
                 self.hold(worker, fn, now) or fn.name in worker.loads):
             fn.parked.append(act)
