A silent worker is asked; one that loads with most cores free is not suspended

Ruled out: links (none broke), lag of ours (under 1 ms), bad clients (half the budget, mended). Lines at fault: round() took any silence past the patience of a warm call for a dead worker.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -330,6 +330,28 @@
         self.assertEqual(len(sent(again)), 1)
         self.assertNotEqual(sent(again), [home])
 
+    def test_a_silent_worker_that_loads_with_cores_free_is_not_suspended(self):
+        # Found on sockets: copies were dropped, workers loaded them for calls thought warm, and four of six were
+        # suspended for their silence, one after the other; their calls began the same loads elsewhere.
+        cases = ((Outcome.COMPLETED, Report(held=20.0, busy=0.3, loading=5.0), False),
+                 (Outcome.COMPLETED, Report(held=20.0, busy=0.9, loading=5.0), True),
+                 (Outcome.COMPLETED, Report(held=20.0, busy=0.3, loading=0.0), True),
+                 (Outcome.COMPLETED, None, True), (Outcome.TIMEOUT, None, True), (None, None, True))
+        for outcome, report, suspended in cases:
+            it = front_end(4, may_probe=True)
+            home = serve(it, ivk="first")
+            call(it, "late", now=20 * MS)
+            asked, now = [], 20 * MS
+            while now < 2 * SECOND and not it.workers[home].until and len(asked) < 9:
+                now += 20 * MS
+                for step in it.tick(now):
+                    if step.do is Do.ASK:
+                        asked.append(step.worker)
+                        if outcome:
+                            it.told(now + MS, home, outcome, report)
+            self.assertEqual(asked, [home], (outcome, report))      # once a send, not again and again
+            self.assertEqual(bool(it.workers[home].until), suspended, (outcome, report))
+
     def test_full_answers_shrink_the_limit_once_a_while(self):
         it = front_end(1)
         for n, limit in ((0, 0.85), (1, 0.85)):
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -31,10 +31,12 @@
 REPORT_KEEP, FRESH_FOR = 3 * SECOND, 300 * MS      # a report counts so long; no new one is asked for so long
 WAITING, SILENT, PINNED = 2.0, 2.0, 10.0   # calls waiting that press; load if silent; calls that fill memory
 CORES_FREE = 0.9           # share of cores at work below which no call waits for one
+IDLE = 0.6                 # share of cores at work below which a worker that loads is silent for that alone
 HELD = 2.0                 # calls held, when told, that press no worker
 SEEN = 0.5                 # calls of ours in flight a worker, from which our counts say more than reports
 ASKS, ASK_WAIT, UNTOLD = 4, 30 * MS, 40    # stops asked a call; later, it is busy; so many told none: no more
 TURNS, GOLDEN = 1 << 20, 0.6180339887  # where front ends' turns begin, by chance; step, even at any length
+PROBED = 100 * MS          # for an answer to a question from a worker that seems silent; far above a network's delay
 ROUND = 100 * MS           # period of the health round; a small part of any target latency in sight
 TYPICAL_START, LOAD_START = 0.25, SECOND   # until seen: usual share of the target latency, a load's time
 PATIENCE, EASE = 4, 0.45   # times the expected until overdue, 98% are in; of the target that answers may take
@@ -83,7 +85,7 @@
         self.shares = {each.name: int(SECOND * told.front_ends / SKEW / each.per_second)    # ns a call takes
                        if each.per_second > 0 else 0 for each in told.tenants}      # within our part; 0: any
         self.many = told.front_ends * (1 + EPSILON) > FIRST_LIMIT       # caps of all together bound no load
-        self.may_ask = UNTOLD if told.may_probe and self.many else 0
+        self.may_ask, self.may_probe = UNTOLD if told.may_probe and self.many else 0, told.may_probe
         self.before, self.sketch = (Sketch(SKETCH_DEPTH, SKETCH_WIDTH, now) for _ in range(2))
         self.next_round, self.budget, self.load_base = now + ROUND, BUDGET_MOST / 2, float(LOAD_START)
 
@@ -517,6 +519,8 @@
         self.hear(worker, now, report)
         if outcome is not Outcome.COMPLETED:    # turned away or lost, it tells as much as a long queue
             worker.load, worker.told = SILENT, now
+        elif report and report.loading and report.busy is not None and report.busy < IDLE:
+            worker.heard = now      # cores are free, so what it has not answered for long waits for a load
         self.may_ask = UNTOLD if worker.told == now else self.may_ask - 1   # some places' probes tell no load
         askers, worker.askers = worker.askers, []
         return self.steps(lambda: [self.go_on(act, now) for act in askers if act.asked is worker])
@@ -563,6 +567,8 @@
         for send in [each for each in self.flying if now - each.at > self.patience(each)]:
             worker = send.worker
             if worker.heard < send.at and worker.until <= now:
+                if self.may_probe and now - worker.asked < PROBED or self.probe(worker, send, now):
+                    continue
                 worker.strikes = STRIKES
                 self.strike(worker, now)
             if worker.until > now or not worker.ready:
@@ -577,6 +583,15 @@
                     self.give_up(act, now)
                 self.wake(fn, now)
 
+    def probe(self, worker: Worker, send: Send, now: int) -> bool:
+        """Asks a worker that seems silent, once a send, whether it loads: one whose copies were dropped does so for
+        calls that we thought warm, and says nothing meanwhile. Suspended for it, all would be, one by one."""
+        if not self.may_probe or worker.asked > send.at:
+            return False
+        worker.asked = now
+        self.out.append(Step(Do.ASK, worker=worker.name))
+        return True
+
     def move(self, send: Send, now: int) -> None:    # off a suspended worker
         act = send.act
         if act.answered or act.begun or act.out > 1 or act.kind.effect is not Effect.REPEATABLE or (
