--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 import gevent
 from gevent import socket
@@ -43,6 +43,13 @@
     body: int            # bytes of an answer's body
 
 
+class Owner(Protocol):
+    """Whose link it is. settle() is called before answers are heard: it may wait a moment."""
+
+    def settle(self) -> None: ...
+    def note(self, event: str, **fields: Any) -> None: ...
+
+
 class Berth:
     """One connection to a worker."""
 
@@ -62,9 +69,10 @@
 class Link:
     """All connections to one worker."""
 
-    def __init__(self, worker: str, address: Address, told: Told, note: Callable[..., None],
-                 chance: Callable[[], float], bits: Callable[[int], int]):
-        self.worker, self.address, self.told, self.note, self.bits = worker, address, told, note, bits
+    def __init__(self, worker: str, address: Address, told: Told, owner: Owner, chance: Callable[[], float],
+                 bits: Callable[[int], int]):
+        self.worker, self.address, self.told, self.owner, self.bits = worker, address, told, owner, bits
+        self.note = owner.note
         self.redial = Redial(chance)
         self.not_before = 0
         self.berths: list[Berth] = []
@@ -289,6 +297,8 @@
                     continue        # a writer's limit, which stands on the socket; reading has none
                 except Refused as refused:
                     problem, answers = str(refused), getattr(refused, "before", [])
+                if answers:
+                    self.owner.settle()
                 for answer in answers:
                     self.hear(berth, answer)
         except (OSError, Refused) as failed:
--- a/threadshift/gateway/fleet.py
+++ b/threadshift/gateway/fleet.py
@@ -8,9 +8,12 @@
 from collections.abc import Collection
 from typing import Any, Protocol
 
+import gevent
+
 from threadshift.conf.values import Address
 from threadshift.desk.desk import Asked, Desk, Held
-from threadshift.interface import MS, Listing, Outcome, State
+from threadshift.interface import MS, SECOND, Listing, Outcome, State
+from threadshift.invoke.looks import SETTLE, STALL, Looks
 from threadshift.roster.membership import Entry, Membership
 
 
@@ -37,6 +40,8 @@
     def __init__(self, grace: int) -> None:
         self.membership = Membership(grace)
         self.links: dict[str, Any] = {}
+        self.looks = Looks()
+        self.settled = 0                 # when it was last seen that the process had stood still
         self.roster_said = 0
         self.roster_lost = False         # the feed is lost or the file unreadable: the last list stands
 
@@ -66,6 +71,17 @@
         link = self.links.get(worker)
         return Outcome.UNREACHABLE if link is None else link.ask(question)
 
+    def settle(self) -> None:
+        """After a standstill the roster's word is read before what answers bring: it may have lain beside them.
+
+        Found by a hunt: an answer read first brought a load order to a worker long told of as draining. Once a second
+        at the most, as a loop at its limit looks like one that stood still."""
+        now = time.monotonic_ns()
+        if now - self.settled >= SECOND and self.looks.unread(now) >= STALL:
+            self.settled = now
+        if now - self.settled < SETTLE:
+            gevent.sleep(SETTLE / SECOND)
+
     # What the roster tells.
 
     def listed(self, entries: Collection[Entry], full: bool) -> None:
--- a/threadshift/gateway/front_end.py
+++ b/threadshift/gateway/front_end.py
@@ -68,6 +68,7 @@
         self.watch = Watch()
         self.api = Invoke(told, self.name, f"http://{self.own}" if self.own else "", self.deferrals,
                           self.admission, log, self.status, weight)
+        self.looks = self.api.looks
         dispatcher = Dispatcher(chance.getrandbits(63), told.deployment, now)
         earlier.assume(dispatcher, told.deployment, now)
         self.desk = self.api.desk = Desk(dispatcher, self, self.api, bounds.load_order)
@@ -82,7 +83,6 @@
         self.arrivals = Arrivals()
         self.hall = Hall(self) if told.announcing else None
         self.stalls, self.longest_stall, self.started = 0, 0, now
-        self.settled = 0                 # when it was last seen that the process had stood still
 
     # What links and the roster tell.
 
@@ -108,17 +108,6 @@
     def link(self, it: Entry) -> Link:
         return Link(it.worker, it.address, self.told.bounds, self.name, self.told.deployment.zone, self, self.chance)
 
-    def settle(self) -> None:
-        """After a standstill the roster's word is read before what answers bring: it may have lain beside them.
-
-        Found by a hunt: an answer read first brought a load order to a worker long told of as draining. Once a second
-        at the most, as a loop at its limit looks like one that stood still."""
-        now = time.monotonic_ns()
-        if now - self.settled >= SECOND and self.api.looks.unread(now) >= STALL:
-            self.settled = now
-        if now - self.settled < SETTLE:
-            gevent.sleep(SETTLE / SECOND)
-
     def note(self, event: str, **fields: Any) -> None:
         if event in ("roster-lost", "roster-unreadable"):
             self.roster_lost = True
--- a/threadshift/node/front.py
+++ b/threadshift/node/front.py
@@ -51,6 +51,7 @@
         self.admission = Admission(min(each.target_latency for each in types.values()))
         self.door = Door(told.connections, told.activations, types, told.deployment.longest_advice, self.admission,
                          self.ready, self.note, self.chance)
+        self.looks = self.door.looks
         dispatcher = Dispatcher(chance.getrandbits(63), told.deployment, now)
         earlier.assume(dispatcher, told.deployment, now)
         self.desk = self.door.desk = Desk(dispatcher, self, self.door, told.load_order)
@@ -68,7 +69,7 @@
 
     def link(self, it: Entry) -> Link:
         workers = sum(each.entry.state is State.READY for each in self.membership.known.values())
-        return Link(it.worker, it.address, self.told.links(workers), self.note, self.chance, self.bits)
+        return Link(it.worker, it.address, self.told.links(workers), self, self.chance, self.bits)
 
     def heard(self, word: Word) -> None:
         """An event of the coordinator."""
