--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,5 +1,6 @@
 import json
 import os
+import random
 import tempfile
 import time
 import unittest
@@ -10,6 +11,8 @@
 from tests.live import until
 from tests.platform import (
     Client, Coordinator, Platform, Worker, begin, configuration, event, instance, params, request, serve)
+from threadshift.audit.records import Seen
+from threadshift.audit.rules import breaches
 from threadshift.conf.settings import Malformed
 from threadshift.fastcgi import room
 from threadshift.fastcgi.codec import ABORT, GET_VALUES, HEAD, STDIN, pair, record, stream
@@ -385,6 +388,71 @@
         self.assertIs(it.stage(5 * SECOND, 1), Stage.DONE)     # well before it is killed
 
 
+class Audited(unittest.TestCase):
+    def test_the_rules_are_kept_by_what_crossed_the_sockets(self):
+        """Workers that serve, fail, turn away, break off, answer twice, spoilt or late, in turn; and a drain."""
+        seen, chance = [], random.Random(5)
+        finals = {200: "completed", 503: "rejected", 502: "aborted"}
+
+        def note(source, event_, **facts):
+            seen.append(Seen(time.monotonic_ns(), event_, source, facts))
+
+        def worker_at(name):
+            def script(worker, sock, it):
+                if it.code == HOLD:
+                    note(name, "hold", front="front-0")
+                    return serve(worker, sock, it)
+                if it.code == GIVE_UP:
+                    return note(name, "cancel", mark=it.id.hex())
+                facts = dict(front="front-0", mark=it.id.hex(), work_ms=1.0)
+                note(name, "invoke", **facts)
+                how = chance.choice(("ok", "ok", "ok", "error", "full", "miss", "reset", "twice", "spoilt", "late"))
+                if how in ("full", "miss"):
+                    note(name, "turned", kind=how, **facts)
+                    return sock.sendall(encode({"full": FULL, "miss": MISS}[how], it.id, mark=FROM_WORKER))
+                note(name, "run", **facts)
+                if how != "late":       # what is spoilt has the connection closed, which ends the send too
+                    note(name, "cut-off" if how in ("reset", "spoilt") else "done", mark=it.id.hex())
+                if how == "error":
+                    return sock.sendall(encode(ERROR, it.id, mark=FROM_WORKER))
+                if how == "reset":
+                    return sock.close()
+                if how == "spoilt":
+                    return sock.sendall(bytes((FROM_WORKER,)) + it.id * 4)
+                good = encode(OK, it.id, "how=reused", it.id, FROM_WORKER)
+                if how == "late":
+                    return gevent.spawn_later(0.6, sock.sendall, good)
+                return sock.sendall(good * (1 + (how == "twice")))
+            return script
+
+        names = ["s-0", "s-1", "s-2"]
+        with Platform([worker_at(name) for name in names]) as it:
+            def ask(n):
+                client, mark = Client(it.address), f"{n:016x}"
+                type_ = ("check", "submit")[n % 2]
+                note("clients", "try", mark=mark, first=mark, front=0, type=type_, deferred=False, left_ms=400,
+                     effect=("repeatable", "once-only")[n % 2])
+                client.ask(1, mark, left="400", type_=type_, item=f"{n % 7:016x}")
+                status, _, body = client.answer()
+                note("clients", "answer", mark=mark, final=finals[status], status=status)
+                client.close()
+                self.assertTrue(status != 200 or body == bytes.fromhex(mark))
+                return status
+            asks = [gevent.spawn_later(0.004 * n, ask, n) for n in range(200)]
+            gevent.sleep(0.4)
+            note("roster", "told", front="front-0", full=False, states={"s-1": "draining"})
+            it.coordinator.say(event(2, instance("s-1", it.workers[1].address, "Terminating")))
+            gevent.joinall(asks)
+            self.assertEqual({ask.get() for ask in asks}, {200, 502, 503})
+            seen.sort(key=lambda each: each.t)
+            self.assertEqual([str(each) for each in breaches(seen, it.told.deployment, 1)], [])
+            self.assertTrue(any(each.event == "run" for each in seen))
+            # The audit sees it when one is broken: the first completed call, run a second time.
+            once = next(each for each in seen if each.event == "run" and int(each["mark"], 16) % 2)
+            twice = sorted([*seen, Seen(once.t + MS, "run", "s-2", once.facts)], key=lambda each: each.t)
+            self.assertTrue(list(breaches(twice, it.told.deployment, 1)))
+
+
 class Unread(unittest.TestCase):
     def test_only_what_may_have_lain_unread_counts_off(self):
         # A call of 70 ms lost 5 of them to a loop that had stood idle.
