--- a/tests/live.py
+++ b/tests/live.py
@@ -10,6 +10,7 @@
 from threadshift.gateway.front_end import FrontEnd
 from threadshift.invoke.client import Client
 from threadshift.links.codec import VERSION, Frames, encode
+from threadshift.links.sockets import listener
 from threadshift.standins.common import Record
 from threadshift.standins.feed import RosterFeed
 from threadshift.standins.store import PackStore
@@ -155,17 +156,13 @@
             return got
 
 
-class Scripted:
-    """A worker played by a test: accepts, says hello, then does with each connection what the script says."""
+class Server:
+    """Accepts at a port of the system's choice; each connection is played by converse()."""
 
-    def __init__(self, name, script, hello=True):
-        self.name, self.script, self.hello = name, script, hello
-        self.sock = socket.socket()
-        self.sock.bind(("127.0.0.1", 0))
-        self.sock.listen(16)
+    def __init__(self):
+        self.sock = listener(ANY, shared=False)
         self.address = Address(*self.sock.getsockname())
-        self.heard = []
-        self.greenlets = [gevent.spawn(self.accept)]
+        self.open, self.greenlets = [], [gevent.spawn(self.accept)]
 
     def accept(self):
         while True:
@@ -173,18 +170,36 @@
                 sock, _ = self.sock.accept()
             except OSError:
                 return
-            self.greenlets.append(gevent.spawn(self.converse, sock))
+            self.open.append(sock)
+            self.greenlets.append(gevent.spawn(self.play, sock))
 
-    def converse(self, sock):
-        if self.hello:
-            sock.sendall(encode("hello", version=VERSION, name=self.name, started=1))
+    def play(self, sock):
         try:
-            self.script(self, sock, self.frames(sock))
+            self.converse(sock)
         except OSError:
             pass
         finally:
             sock.close()
 
+    def stop(self):
+        self.sock.close()
+        gevent.killall(self.greenlets)
+        for sock in self.open:
+            sock.close()
+
+
+class Scripted(Server):
+    """A worker played by a test: says hello, then does with each connection what the script says."""
+
+    def __init__(self, name, script, hello=True):
+        super().__init__()
+        self.name, self.script, self.hello, self.heard = name, script, hello, []
+
+    def converse(self, sock):
+        if self.hello:
+            sock.sendall(encode("hello", version=VERSION, name=self.name, started=1))
+        self.script(self, sock, self.frames(sock))
+
     def frames(self, sock):
         cut = Frames(1 << 20)
         while data := sock.recv(65536):
@@ -192,8 +207,4 @@
                 self.heard.append(frame["kind"])
                 yield frame
 
-    def stop(self):
-        self.sock.close()
-        gevent.killall(self.greenlets)
-
 
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -5,12 +5,11 @@
 from gevent import socket
 from gevent.event import Event
 
-from tests.live import ANY, Silent, free_port, until
+from tests.live import Server, Silent, free_port, until
 from threadshift.conf.values import Address
 from threadshift.fastcgi import codec
 from threadshift.fastcgi.codec import ABORT, BEGIN, BEGUN, END, KEEP, PARAMS, RESPONDER, STDIN, STDOUT, record, stream
 from threadshift.frames.codec import FROM_US, FROM_WORKER, HOLD, INVOKE, OK, Frames, encode
-from threadshift.links.sockets import listener
 from threadshift.node.front import Node
 from threadshift.node.placement import understand
 
@@ -40,38 +39,6 @@
     return {"index": index, "endpoints": {"generation": index, "reset": full, "instances": list(instances)}}
 
 
-class Server:
-    """Accepts; each connection is played by converse()."""
-
-    def __init__(self):
-        self.sock = listener(ANY, shared=False)
-        self.address = Address(*self.sock.getsockname())
-        self.open, self.greenlets = [], [gevent.spawn(self.accept)]
-
-    def accept(self):
-        while True:
-            try:
-                sock, _ = self.sock.accept()
-            except OSError:
-                return
-            self.open.append(sock)
-            self.greenlets.append(gevent.spawn(self.play, sock))
-
-    def play(self, sock):
-        try:
-            self.converse(sock)
-        except OSError:
-            pass
-        finally:
-            sock.close()
-
-    def stop(self):
-        self.sock.close()
-        gevent.killall(self.greenlets)
-        for sock in self.open:
-            sock.close()
-
-
 def serve(worker, sock, it):
     """What a worker does that has every function: answers calls and orders."""
     if it.code == INVOKE:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -109,6 +109,14 @@
         self.assertEqual(it.broke(now + STEADY) - now - STEADY, FIRST)
 
 
+def reads_nothing(worker, sock, frames):
+    """A worker that lives, but reads nothing."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    while True:
+        sock.sendall(encode("pong"))
+        gevent.sleep(0.02)
+
+
 def ends(function, script, hello=True, name="w0", **facts):
     """One call at a gateway whose only worker is played by the script: the reply, the worker, the live rig."""
     live = Live(workers=0, **facts)
@@ -211,13 +219,8 @@
         self.assertTrue(any("silent" in each["problem"] for each in live.log.of("link-broke")))
 
     def test_a_worker_that_never_reads_fills_a_bound_and_no_more(self):
-        def script(worker, sock, frames):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            while True:
-                sock.sendall(encode("pong"))     # lives, but reads nothing
-                gevent.sleep(0.02)
         live = Live(workers=0, bounds="worker-buffer 300K\nwrite 300ms\nbody 200K\n")
-        worker = Scripted("w0", script)
+        worker = Scripted("w0", reads_nothing)
         live.extra.append(worker)
         live.list("w0", worker.address)
         with live:
@@ -279,13 +282,8 @@
 
     def test_what_a_full_socket_holds_up_is_taken_back_when_the_worker_drains(self):
         """Written once the worker read again, it would have been new to it past the grace (rule 3)."""
-        def script(worker, sock, frames):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            while True:
-                sock.sendall(encode("pong"))     # lives, but reads nothing
-                gevent.sleep(0.02)
         live = Live(workers=0, bounds="worker-buffer 32M\nwrite 3s\nbody 4M\nframe 8M\n")
-        worker = Scripted("w0", script)
+        worker = Scripted("w0", reads_nothing)
         live.extra.append(worker)
         live.list("w0", worker.address)
         with live:
