A send is put down as waiting where it really is; what two protocols wrote twice is one piece

Fault, found on reading again: Link.put() could move a frame to another connection or to the queue when the first choice turned out closed, and invoke() then put down the first one. A cancel missed the send: the worker was not told, and a queued one could leave after its call had its answer. The test shows it on the text before. Cause: three callers kept that book; now place() is the one way for frames and keeps it. One piece where there were two, behaviour as before: Outgoing (write at once, the rest by a greenlet) for clients' and workers' connections, shows() for a look at a socket, Fleet.beat() for what a tick brings (the node now logs 'stalled' as the gateway does), fault_of(), the collector's thresholds, the lines on what was turned away; the check for an open id is made once, after the wait. Taken out: fields that nobody read.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -289,6 +289,22 @@
                 sock.close()
             self.assertEqual(it.call(id_="00000000000000a2", type_="submit")[0], 200)
 
+    def test_a_send_that_went_over_another_connection_than_the_first_choice_is_given_up_there(self):
+        # Found by reading: it was put down as waiting on the connection that had been closed, so a cancel missed it.
+        with Platform([silent]) as it:
+            link = it.node.links["s-0"]
+            link.dial()
+            until(lambda: len(link.berths) == 2 and len(it.workers[0].open) == 2)
+            first = link.berths[0].sock.getsockname()
+            next(sock for sock in it.workers[0].open if sock.getpeername() == first).shutdown(2)
+            call = Of(type="submit", function="00000000000000f1", body=b"x")
+            held = Of(ivk=A, call=call, returned=lambda now, number, outcome, **_: None)
+            self.assertIsNone(link.invoke(held, 0, SECOND))
+            self.assertTrue(link.busy)
+            self.assertEqual(link.cancel(held, 0, True).value, "cancelled")
+            self.assertFalse(link.busy)
+            until(lambda: it.workers[0].codes(GIVE_UP))
+
     def test_load_orders_leave_at_once_or_not_at_all(self):
         with Platform([silent]) as it:
             link, ends = it.node.links["s-0"], []
--- a/threadshift/cli.py
+++ b/threadshift/cli.py
@@ -1,7 +1,6 @@
 """The command line: threadshift COMMAND. Errors are one line on standard error and a non-zero exit."""
 from __future__ import annotations
 
-import gc
 import json
 import os
 import signal
@@ -87,16 +86,13 @@
     import gevent
     from gevent.fileobject import FileObject
 
+    from threadshift import collector
     from threadshift.gateway.front_end import FrontEnd
     from threadshift.log import Log
     it = told(file)
     log = Log(it.log_form, it.log_level, it.bounds.log_lines, front_end=it.front_end(index))
     front = FrontEnd(it, index, log, seed)
-    # What stands by now stands for good: the collector need not look at it again and again.
-    # Calls leave no rings behind, so old generations are looked at seldom: a look stands still for 10 ms or more.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(2_000, 50, 1_000)
+    collector.calm()
 
     def parent_gone() -> None:
         while FileObject(sys.stdin.buffer, "rb").read(1):
--- a/threadshift/fastcgi/door.py
+++ b/threadshift/fastcgi/door.py
@@ -7,9 +7,7 @@
 
 import select
 import time
-import traceback
 from collections.abc import Callable
-from contextlib import suppress
 from typing import Any
 
 import gevent
@@ -24,8 +22,8 @@
 from threadshift.invoke.admission import Admission
 from threadshift.invoke.looks import SETTLE, STALL, Looks
 from threadshift.invoke.tally import Tally
-from threadshift.links.outbox import Outbox
-from threadshift.links.sockets import arriving, write_now, write_out
+from threadshift.links.sockets import Outgoing, arriving, shows
+from threadshift.log import fault_of
 
 READ = 16 << 10            # bytes a read: several usual requests, and little memory a connection
 WRITE = 2 * SECOND         # without progress, until a client that takes no answer is cut off
@@ -55,16 +53,15 @@
         self.connection.respond(self, content, status)
 
 
-class Connection:
+class Connection(Outgoing):
     """One client connection."""
 
     def __init__(self, sock: socket.socket, door: Door, unread: int):
-        self.sock, self.door, self.unread = sock, door, unread
+        super().__init__(sock, BUFFER, WRITE)
+        self.door, self.unread = door, unread
         self.accepted = self.active = time.monotonic_ns()
         self.limit = self.accepted + room.FIRST
         self.open: dict[int, Request] = {}
-        self.outbox = Outbox(BUFFER)
-        self.writer: gevent.Greenlet | None = None
         self.answered = self.last = self.ended = False
         self.offences = self.dropped = 0
 
@@ -209,39 +206,21 @@
         self.put(codec.response(request.number, content, status))
 
     def put(self, data: bytes) -> None:
-        if not self.outbox.put(None, data):
+        if self.outbox.put(None, data):
+            self.write()
+        else:
             self.shut()                 # it takes no answers
-        elif self.writer is None:
-            try:
-                if not write_now(self.sock, self.outbox):
-                    self.writer = gevent.spawn(self.write_rest)
-                elif self.last and not self.open:
-                    self.shut(socket.SHUT_RD)
-            except OSError:
-                self.shut()
-
-    def write_rest(self) -> None:
-        try:
-            write_out(self.sock, self.outbox, WRITE)
-            if self.last and not self.open:
-                self.shut(socket.SHUT_RD)
-        except OSError:
-            self.shut()
-        finally:
-            self.writer = None
 
-    def shut(self, how: int = socket.SHUT_RDWR) -> None:
-        with suppress(OSError):
-            self.sock.shutdown(how)     # the reader wakes and tidies up
+    def written(self) -> None:
+        if self.last and not self.open:
+            self.shut(socket.SHUT_RD)
 
     def end(self) -> bool:
         """Ends a connection with nothing open; False where something lies unread on it, which is a request.
 
         Nothing is read from here on: one taken from a connection that we have closed could not be answered. Found by
         an incident, 53 requests of one day."""
-        unread = select.poll()
-        unread.register(self.sock.fileno(), select.POLLIN)
-        if not self.ended and not unread.poll(0):
+        if not self.ended and not shows(self.sock, select.POLLIN):
             self.ended = True
             self.shut()
         return self.ended
@@ -295,8 +274,7 @@
         try:
             connection.serve()
         except Exception as fault:      # ours; it ends this connection alone, and loudly
-            place = traceback.extract_tb(fault.__traceback__)[-1]
-            self.note("fault", level="error", problem=repr(fault), at=f"{place.filename}:{place.lineno}")
+            self.note("fault", level="error", **fault_of(fault))
         finally:
             self.connections.discard(connection)
 
@@ -306,15 +284,13 @@
         assert told is not None
         if told.get(b"SCRIPT_NAME") == requests.ALIVE:
             request.held = True
-            request.respond(requests.DONE if self.ready() and not self.closing else self.busy("not-ready"))
+            request.respond(requests.DONE if self.ready() else self.busy("not-ready"))
             return
         # First, as what is refused must cost as little as can be: at the limit all else is work for nothing.
         if not self.admission.admit(b"HTTP_X_AGAIN" in told):
             self.refuse(request, OVERLOADED)
             return
         asked = requests.read(told, request.body, self.types)
-        if asked.ivk in self.desk.held:
-            raise Unfit(409, "a request with this id is open")
         request.held, request.told, request.body = True, {}, b""
         # It may have lain unread since the event loop looked last: its client's time ran all the while.
         unread = max(unread, self.looks.unread(time.monotonic_ns()))
@@ -322,16 +298,15 @@
             # Word that a worker drains may lie unread too, and rule 3 counts from when it came.
             gevent.sleep(SETTLE / SECOND)
             unread += SETTLE
-            if asked.ivk in self.desk.held:
-                raise Unfit(409, "a request with this id is open")
+            if request.connection.open.get(request.number) is not request:
+                return                  # its client gave it up meanwhile
+        if asked.ivk in self.desk.held:
+            raise Unfit(409, "a request with this id is open")
         call = asked.call._replace(left=asked.call.left - unread)
-        if request.connection.open.get(request.number) is not request:
-            return                      # its client gave it up meanwhile
         if self.closing or call.left <= 0 or len(self.desk.held) >= self.activations:
             self.refuse(request, CLOSING if self.closing else LATE if call.left <= 0 else FULL)
             return
-        held = self.desk.take(time.monotonic_ns(), asked.ivk, call, request)
-        request.held = held
+        request.held = self.desk.take(time.monotonic_ns(), asked.ivk, call, request)
 
     def refuse(self, request: Request, reason: str) -> None:
         """Not taken: nothing ran, so trying again is harmless."""
@@ -362,8 +337,7 @@
         self.due = now + LOOK
         for each in [each for each in self.connections if each.limit <= now]:
             each.look(now)
-        for line in self.tally.tell(now):
-            self.note("turned-away", level="warning", **line)
+        self.tell_turned_away(now)
 
     def end(self) -> None:
         """Ends all connections, once nothing is owed."""
@@ -371,5 +345,8 @@
             each.shut()
         self.greenlets.join(WRITE / SECOND)
         self.greenlets.kill()
-        for line in self.tally.tell(time.monotonic_ns(), all_=True):
+        self.tell_turned_away(time.monotonic_ns(), all_=True)
+
+    def tell_turned_away(self, now: int, all_: bool = False) -> None:
+        for line in self.tally.tell(now, all_):
             self.note("turned-away", level="warning", **line)
--- a/threadshift/frames/berths.py
+++ b/threadshift/frames/berths.py
@@ -42,7 +42,7 @@
     return best
 
 
-def another(berths: Iterable[Berth], dialling: int, most: int) -> bool:
+def another(berths: Iterable[Berth], dialling: bool, most: int) -> bool:
     """Whether one more is dialled: none is free, and there is room for one."""
     berths = list(berths)
     return not dialling and len(berths) < most and all(each.waiting or each.doubted for each in berths)
--- a/threadshift/frames/codec.py
+++ b/threadshift/frames/codec.py
@@ -66,7 +66,6 @@
     def __init__(self, longest: int, mark: int = FROM_WORKER):
         self.longest, self.mark = longest, mark
         self.buffer = b""
-        self.wanted = HEAD.size
 
     def feed(self, data: bytes) -> list[Answer]:
         """The answers that data completes; those ahead of what is wrong come with Refused, in `before`."""
--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -8,7 +8,6 @@
 import select
 import time
 from collections.abc import Callable
-from contextlib import suppress
 from typing import Any, NamedTuple, Protocol
 
 import gevent
@@ -20,15 +19,15 @@
 from threadshift.frames.codec import (
     ASK, ERROR, FINE, FULL, GIVE_UP, HOLD, INVOKE, MISS, OK, OVER, UNWELL, Answer, Frames, Refused, encode)
 from threadshift.interface import MS, SECOND, Copy, Outcome
-from threadshift.links.outbox import Outbox
 from threadshift.links.redial import Redial
-from threadshift.links.sockets import connect, since_ready, write_now, write_out
+from threadshift.links.sockets import Outgoing, connect, shows, since_ready
 
 READ = 16 << 10            # bytes a read: many usual answers, and little memory a connection
 MOST_USED = 128            # ids remembered a connection that may not go over it again
 COPIES = {"reused": Copy.FOUND, "init": Copy.BEGAN, "shared_init": Copy.WAITED, "init_error": Copy.LOAD_FAILED}
 ENDS = {OK: Outcome.COMPLETED, MISS: Outcome.MISS, FULL: Outcome.FULL, ERROR: Outcome.ERROR, OVER: Outcome.MOOT}
-ORDERS = {OK: Outcome.COMPLETED, FULL: Outcome.FULL}
+ORDERS = {OK: Outcome.COMPLETED, FULL: Outcome.FULL, ERROR: Outcome.ERROR}
+PROBES = (FINE, UNWELL)
 
 
 class Told(NamedTuple):
@@ -50,19 +49,15 @@
     def note(self, event: str, **fields: Any) -> None: ...
 
 
-class Berth:
+class Berth(Outgoing):
     """One connection to a worker."""
 
-    __slots__ = ("sock", "outbox", "waiting", "used", "proven", "doubted", "heard", "writer", "reader")
-
-    def __init__(self, sock: socket.socket, buffer: int):
-        self.sock = sock
-        self.outbox = Outbox(buffer)
+    def __init__(self, sock: socket.socket, told: Told):
+        super().__init__(sock, told.buffer, told.write)
         self.waiting: dict[bytes, Any] = {}     # (held, number) of a send, or an Asked
         self.used: dict[bytes, None] = {}
         self.proven = self.doubted = False
-        self.heard = 0
-        self.writer: gevent.Greenlet | None = None
+        self.heard = time.monotonic_ns()
         self.reader: gevent.Greenlet | None = None
 
 
@@ -88,16 +83,36 @@
         call = held.call
         id_ = bytes.fromhex(held.ivk)
         frame = encode(INVOKE, id_, f"class={call.type},key={call.function},wait={max(1, left // MS)}", call.body)
-        berth = berths.fit(self.berths, id_, self.told.streams)
-        if berth is None:
-            return self.wait_for_dial((held, number), id_, frame)
-        outcome = self.put(berth, id_, (held, number), frame)
-        if outcome is None:
-            self.ways[held.ivk, number] = berth, id_
-        if berths.another(self.berths, self.dialler is not None, self.told.most):
+        outcome = self.place(id_, (held, number), frame)
+        if self.berths and berths.another(self.berths, self.dialler is not None, self.told.most):
             self.dial()
         return outcome
 
+    def place(self, id_: bytes, what: Any, frame: bytes) -> Outcome | None:
+        """Puts a frame on the connection that fits and notes where it waits: the one way for all frames that are
+        answered. Idle connections that were closed meanwhile are ended on the way."""
+        while (berth := berths.fit(self.berths, id_, self.told.streams)) is not None and (
+                not berth.waiting and self.closed(berth)):
+            self.end(berth)
+        if berth is None and isinstance(what, tuple):
+            return self.wait_for_dial(what, id_, frame)
+        if berth is None or not berth.outbox.put(id_, frame):
+            if not self.berths:
+                self.dial()
+            return Outcome.UNREACHABLE      # a worker that does not read: what fits no more never left
+        berth.waiting[id_] = what
+        berth.used[id_] = None
+        if len(berth.used) > MOST_USED:
+            del berth.used[next(iter(berth.used))]
+        berth.write()
+        if isinstance(what, tuple):
+            self.ways[what[0].ivk, what[1]] = berth, id_
+        elif berth.outbox.withdraw(id_):
+            # An order or a question leaves at once or not at all: late ones would come to the worker in a bunch.
+            del berth.waiting[id_]
+            return Outcome.UNREACHABLE
+        return None
+
     def wait_for_dial(self, what: tuple[Any, int], id_: bytes, frame: bytes) -> Outcome | None:
         if self.stopped or time.monotonic_ns() < self.not_before or id_ in self.queue or (
                 len(self.berths) >= self.told.most and not self.make_room()):
@@ -118,24 +133,12 @@
         return False
 
     def order(self, asked: Any) -> Outcome | None:
-        return self.now(asked, HOLD, f"key={asked.fn},n=1")
+        id_ = self.number()
+        return self.place(id_, asked, encode(HOLD, id_, f"key={asked.fn},n=1"))
 
     def ask(self, asked: Any) -> Outcome | None:
-        return self.now(asked, ASK, "")
-
-    def now(self, asked: Any, code: int, fields: str) -> Outcome | None:
-        """An order or a question leaves at once or not at all: late ones would come to the worker in a bunch."""
         id_ = self.number()
-        berth = berths.fit(self.berths, id_, self.told.streams)
-        if berth is None or berth.outbox.size:
-            if not self.berths:
-                self.dial()
-            return Outcome.UNREACHABLE
-        outcome = self.put(berth, id_, asked, encode(code, id_, fields))
-        if outcome is None and berth.outbox.withdraw(id_):
-            berth.waiting.pop(id_, None)
-            return Outcome.UNREACHABLE
-        return outcome
+        return self.place(id_, asked, encode(ASK, id_))
 
     def number(self) -> bytes:
         """An id of our own, which meets no other that is open here."""
@@ -144,55 +147,11 @@
             if id_ not in self.queue and not any(id_ in each.waiting for each in self.berths):
                 return id_
 
-    def put(self, berth: Berth, id_: bytes, what: Any, frame: bytes) -> Outcome | None:
-        if not berth.waiting and self.closed(berth):
-            self.end(berth)
-            return self.again(id_, what, frame)
-        if not berth.outbox.put(id_, frame):
-            return Outcome.UNREACHABLE      # a worker that does not read: what fits no more never left
-        berth.waiting[id_] = what
-        berth.used[id_] = None
-        if len(berth.used) > MOST_USED:
-            del berth.used[next(iter(berth.used))]
-        self.write(berth)
-        return None
-
-    def again(self, id_: bytes, what: Any, frame: bytes) -> Outcome | None:
-        """A frame none of whose bytes left looks for another connection."""
-        berth = berths.fit(self.berths, id_, self.told.streams)
-        if berth is not None:
-            outcome = self.put(berth, id_, what, frame)
-            if outcome is None and isinstance(what, tuple):
-                self.ways[what[0].ivk, what[1]] = berth, id_
-            return outcome
-        return self.wait_for_dial(what, id_, frame) if isinstance(what, tuple) else Outcome.UNREACHABLE
-
     def closed(self, berth: Berth) -> bool:
         """Whether the peer has closed an idle connection, seen or not, or is about to: nothing is written on it."""
         if berths.stale(time.monotonic_ns(), berth.heard, self.told.idle):
             return True
-        look = select.poll()
-        look.register(berth.sock.fileno(), select.POLLRDHUP)
-        return bool(look.poll(0))
-
-    def write(self, berth: Berth) -> None:
-        if berth.writer is not None:
-            return
-        try:
-            if not write_now(berth.sock, berth.outbox):
-                berth.writer = gevent.spawn(self.write_rest, berth)
-        except OSError:
-            with suppress(OSError):
-                berth.sock.shutdown(socket.SHUT_RDWR)       # the reader notices and tidies up
-
-    def write_rest(self, berth: Berth) -> None:
-        try:
-            write_out(berth.sock, berth.outbox, self.told.write)
-        except OSError:
-            with suppress(OSError):
-                berth.sock.shutdown(socket.SHUT_RDWR)
-        finally:
-            berth.writer = None
+        return shows(berth.sock, select.POLLRDHUP)
 
     def cancel(self, held: Any, number: int, tell: bool) -> Outcome:
         """Stops waiting for a send. MOOT where it never left. The worker is told in any case, or it works on."""
@@ -205,7 +164,7 @@
         if berth.outbox.withdraw(id_):
             return Outcome.MOOT
         if berth.outbox.put(None, encode(GIVE_UP, id_)):
-            self.write(berth)
+            berth.write()
         berth.doubted = berth.doubted or berths.doubt(berth.heard, left)
         if berth.doubted and not berth.waiting:
             self.end(berth)
@@ -267,19 +226,14 @@
                     return
         else:
             return
-        now = time.monotonic_ns()
-        self.redial.up(now)
-        berth = Berth(sock, self.told.buffer)
-        berth.heard = now
+        berth = Berth(sock, self.told)
+        self.redial.up(berth.heard)
         self.berths.append(berth)
         self.dialler = None
         berth.reader = gevent.spawn(self.read, berth)
         queued, self.queue = self.queue, {}
         for id_, (what, frame) in queued.items():
-            outcome = self.put(berth, id_, what, frame)
-            if outcome is None:
-                self.ways[what[0].ivk, what[1]] = berth, id_
-            else:
+            if (outcome := self.place(id_, what, frame)) is not None:
                 self.finish(what, time.monotonic_ns(), outcome)
 
     def read(self, berth: Berth) -> None:
@@ -311,19 +265,15 @@
         if what is None:
             return
         now = time.monotonic_ns()
-        if isinstance(what, tuple) != (it.code in ENDS) and isinstance(what, tuple):
+        if it.code not in (ENDS if isinstance(what, tuple) else ORDERS if what.fn else PROBES):
             raise Refused(f"code {it.code} answers something else")
         load = report(it.fields["stats"], ";") if "stats" in it.fields else None
         if isinstance(what, tuple):
             copy = COPIES.get(it.fields.get("how", ""), Copy.UNTOLD)
         elif what.fn:
-            if it.code not in (OK, FULL, ERROR):
-                raise Refused(f"code {it.code} answers something else")
             copies = it.fields.get("n", "0")
             if not (copies.isascii() and copies.isdigit() and len(copies) < 6):
                 raise Refused(f"n={copies[:20]} is no number of copies")
-        elif it.code not in (FINE, UNWELL):
-            raise Refused(f"code {it.code} answers something else")
         del berth.waiting[it.id]
         berth.proven = True
         left = berth.outbox.left.pop(it.id, now)
@@ -334,7 +284,7 @@
             held.returned(now, number, ENDS[it.code], body=it.body, copy=copy, report=load,
                           waited=max(0, now - since_ready() - left))
         elif what.fn:
-            what.answered(now, ORDERS.get(it.code, Outcome.ERROR), copies=int(copies))
+            what.answered(now, ORDERS[it.code], copies=int(copies))
         else:
             what.answered(now, Outcome.COMPLETED, report=load)
         if berth.doubted and not berth.waiting:
@@ -356,7 +306,7 @@
         for id_, what in ended:
             if id_ not in frames:
                 self.finish(what, now, Outcome.RESET)
-            elif (outcome := self.again(id_, what, frames[id_])) is not None:
+            elif (outcome := self.place(id_, what, frames[id_])) is not None:
                 self.finish(what, now, outcome)
 
     def end(self, berth: Berth) -> None:
--- a/threadshift/gateway/fleet.py
+++ b/threadshift/gateway/fleet.py
@@ -1,4 +1,4 @@
-"""The workers of one front end: who they are, a link to each, and the desk's port to them.
+"""The workers of one front end: who they are, a link to each, the desk's port to them, and the timer's beat.
 
 Nothing here decides. Links belong to worker ids, never to addresses. A subclass makes links of its own protocol.
 """
@@ -13,7 +13,9 @@
 from threadshift.conf.values import Address
 from threadshift.desk.desk import Asked, Desk, Held
 from threadshift.interface import MS, SECOND, Listing, Outcome, State
+from threadshift.invoke.admission import PERIOD, Admission
 from threadshift.invoke.looks import SETTLE, STALL, Looks
+from threadshift.log import Log
 from threadshift.roster.membership import Entry, Membership
 
 
@@ -36,12 +38,16 @@
     """Carries the desk's steps to links, and word of workers to the desk."""
 
     desk: Desk
+    looks: Looks
+    admission: Admission
 
-    def __init__(self, grace: int) -> None:
+    def __init__(self, grace: int, log: Log) -> None:
+        self.log = log
         self.membership = Membership(grace)
         self.links: dict[str, Any] = {}
-        self.looks = Looks()
         self.settled = 0                 # when it was last seen that the process had stood still
+        self.stalls = self.longest_stall = 0
+        self.measured = self.looked = 0  # when the lag was read, and workers gone were looked for
         self.roster_said = 0
         self.roster_lost = False         # the feed is lost or the file unreadable: the last list stands
 
@@ -50,7 +56,7 @@
         raise NotImplementedError
 
     def note(self, event: str, **fields: Any) -> None:
-        raise NotImplementedError
+        self.log.note(event, **fields)
 
     # The desk's port to workers.
 
@@ -82,6 +88,27 @@
         if now - self.settled < SETTLE:
             gevent.sleep(SETTLE / SECOND)
 
+    def beat(self, now: int, late: int) -> int:
+        """What one tick of the timer brings, whatever the protocols; the time after it, as it may wait a moment."""
+        if late >= STALL:
+            self.stalls += 1
+            self.longest_stall = max(self.longest_stall, late)
+            self.note("stalled", level="warning", late_ms=late // MS, owed=self.desk.owed)
+            # Time alone may send again: not before the roster's word that came meanwhile is read.
+            gevent.sleep(SETTLE / SECOND)
+            now = time.monotonic_ns()
+        if now - self.measured >= PERIOD:
+            self.measured = now
+            self.admission.measured(now, late)
+        if self.desk.due() <= now:
+            self.desk.tick(now)
+        self.told_of(self.membership.tick(now))
+        if now - self.looked >= SECOND:
+            self.looked = now
+            self.let_go_of_workers()
+            self.log.tick(now)
+        return now
+
     # What the roster tells.
 
     def listed(self, entries: Collection[Entry], full: bool) -> None:
--- a/threadshift/gateway/front_end.py
+++ b/threadshift/gateway/front_end.py
@@ -7,7 +7,6 @@
 import os
 import random
 import time
-import traceback
 from collections.abc import Callable
 from contextlib import suppress
 from itertools import cycle
@@ -29,17 +28,16 @@
 from threadshift.gateway.hall import Hall
 from threadshift.gateway.recent import Arrivals, Recent
 from threadshift.interface import MS, SECOND
-from threadshift.invoke.admission import PERIOD, Admission
+from threadshift.invoke.admission import Admission
 from threadshift.invoke import requests
 from threadshift.invoke.api import PAUSE_OF, Invoke, busy
 from threadshift.invoke.deferred import InMemory
 from threadshift.invoke.http import Application, Connection, Watch, whole
-from threadshift.invoke.looks import SETTLE, STALL
 from threadshift.invoke.shares import weights
 from threadshift.links.codec import Frame
 from threadshift.links.link import Link
 from threadshift.links.sockets import arriving, listener
-from threadshift.log import Log
+from threadshift.log import Log, fault_of
 from threadshift.roster.membership import Entry
 from threadshift.roster.sources import Feed, WatchedFile
 from threadshift.timer import ticks
@@ -54,9 +52,9 @@
     """Carries steps to links and answers to the desk; owns every greenlet of the process."""
 
     def __init__(self, told: Installation, index: int, log: Log, seed: int | None = None):
-        super().__init__(told.deployment.drain_grace)
+        super().__init__(told.deployment.drain_grace, log)
         now = time.monotonic_ns()
-        self.told, self.index, self.log = told, index, log
+        self.told, self.index = told, index
         self.name = told.front_end(index)
         chance = random.Random(seed if seed is not None else random.SystemRandom().getrandbits(63))
         self.chance = chance.random
@@ -82,7 +80,7 @@
         self.api.recent = self.recent
         self.arrivals = Arrivals()
         self.hall = Hall(self) if told.announcing else None
-        self.stalls, self.longest_stall, self.started = 0, 0, now
+        self.started = now
 
     # What links and the roster tell.
 
@@ -111,7 +109,7 @@
     def note(self, event: str, **fields: Any) -> None:
         if event in ("roster-lost", "roster-unreadable"):
             self.roster_lost = True
-        self.log.note(event, **fields)
+        super().note(event, **fields)
 
     # Running.
 
@@ -173,36 +171,18 @@
             Connection(client, application, self.told.bounds, self.watch, unread).serve()
         except Exception as fault:
             cause = fault.__context__ or fault      # a parser wraps what its callbacks raise
-            place = traceback.extract_tb(cause.__traceback__)[-1]
-            self.note("fault", level="error", problem=repr(cause), at=f"{place.filename}:{place.lineno}")
+            self.note("fault", level="error", **fault_of(cause))
 
     def keep_time(self, over: Callable[[], bool]) -> None:
         """The one timer: every tick, what is due; how late it comes tells how busy or stalled the process is.
 
         A fault in what it calls is ours, and ends the process loudly: half a front end is worse than none."""
-        measured = looked = 0
         for now, late in ticks(self.told.deployment.tick, over):
-            if late >= STALL:
-                self.stalls += 1
-                self.longest_stall = max(self.longest_stall, late)
-                self.note("stalled", level="warning", late_ms=late // MS, owed=self.desk.owed)
-                # Time alone may send again: not before the roster's word that came meanwhile is read.
-                gevent.sleep(SETTLE / SECOND)
-                now = time.monotonic_ns()
-            if now - measured >= PERIOD:
-                measured = now
-                self.admission.measured(now, late)
+            now = self.beat(now, late)
             self.watch.tick(now)
-            if self.desk.due() <= now:
-                self.desk.tick(now)
-            self.told_of(self.membership.tick(now))
             self.api.tick(now)
             if self.hall is not None:
                 self.hall.tick(now)
-            if now - looked >= SECOND:
-                looked = now
-                self.let_go_of_workers()
-                self.log.tick(now)
 
     def drain(self) -> None:
         """No new calls; what is held gets its answers; then the end, within the stated time."""
--- a/threadshift/links/sockets.py
+++ b/threadshift/links/sockets.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import os
+import select
 import time
 from collections.abc import Callable, Iterator
 from contextlib import suppress
@@ -72,15 +73,51 @@
     outbox.wrote(0)
 
 
-def write_now(sock: socket.socket, outbox: Outbox) -> bool:
-    """Writes what the operating system takes at once; whether that was all. Raises OSError."""
-    while chunk := outbox.chunk():
+class Outgoing:
+    """What goes out on one socket: written at once as far as the operating system takes it, the rest by a greenlet.
+
+    Where that fails the socket is shut, and whoever reads it notices and tidies up."""
+
+    def __init__(self, sock: socket.socket, most: int, limit: int):
+        self.sock, self.outbox, self.write_limit = sock, Outbox(most), limit
+        self.writer: gevent.Greenlet | None = None
+
+    def write(self) -> None:
+        """Writes what waits in the outbox."""
+        if self.writer is not None:
+            return
         try:
-            outbox.wrote(sock.send(chunk, 0, 0.0), time.monotonic_ns())
+            while chunk := self.outbox.chunk():
+                self.outbox.wrote(self.sock.send(chunk, 0, 0.0), time.monotonic_ns())
+            self.outbox.wrote(0)
+            self.written()
         except BlockingIOError:
-            return False
-    outbox.wrote(0)
-    return True
+            self.writer = gevent.spawn(self.write_rest)
+        except OSError:
+            self.shut()
+
+    def write_rest(self) -> None:
+        try:
+            write_out(self.sock, self.outbox, self.write_limit)
+            self.written()
+        except OSError:
+            self.shut()
+        finally:
+            self.writer = None
+
+    def written(self) -> None:
+        """All that waited is written."""
+
+    def shut(self, how: int = socket.SHUT_RDWR) -> None:
+        with suppress(OSError):
+            self.sock.shutdown(how)
+
+
+def shows(sock: socket.socket, events: int) -> bool:
+    """Whether a socket shows one of these events of poll() now, seen by its reader or not."""
+    look = select.poll()
+    look.register(sock.fileno(), events)
+    return bool(look.poll(0))
 
 
 def since_ready() -> int:
--- a/threadshift/log.py
+++ b/threadshift/log.py
@@ -10,6 +10,7 @@
 import sys
 import threading
 import time
+import traceback
 from contextlib import suppress
 from typing import Any, TextIO
 
@@ -22,6 +23,12 @@
 CLOSE_WAIT = 2.0           # s; what a stuck reader of our logs may hold up the end of the process
 
 
+def fault_of(fault: BaseException) -> dict[str, str]:
+    """A fault of ours as fields of a line: what, and where."""
+    place = traceback.extract_tb(fault.__traceback__)[-1]
+    return {"problem": repr(fault), "at": f"{place.filename}:{place.lineno}"}
+
+
 class Lines:
     """A bounded queue of lines before a stream. Its thread is a real one: writing to a pipe may block."""
 
--- a/threadshift/node/front.py
+++ b/threadshift/node/front.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-import gevent
 from gevent import socket
 from gevent.pool import Group
 
@@ -24,8 +23,7 @@
 from threadshift.frames.link import Link
 from threadshift.gateway.fleet import Fleet
 from threadshift.interface import MS, SECOND, State
-from threadshift.invoke.admission import PERIOD, Admission
-from threadshift.invoke.looks import SETTLE, STALL
+from threadshift.invoke.admission import Admission
 from threadshift.links.sockets import listener
 from threadshift.log import Log
 from threadshift.node import placement
@@ -42,9 +40,9 @@
     """Carries steps to links and answers to the desk; owns every greenlet of the process."""
 
     def __init__(self, told: Placement, environment: Mapping[str, str], log: Log):
-        super().__init__(told.deployment.drain_grace)
+        super().__init__(told.deployment.drain_grace, log)
         now = time.monotonic_ns()
-        self.told, self.environment, self.log = told, environment, log
+        self.told, self.environment = told, environment
         chance = random.Random(told.seed)
         self.chance, self.bits = chance.random, chance.getrandbits
         types = {each.name: each for each in told.deployment.types}
@@ -59,11 +57,6 @@
         self.leaving = Leaving(max(each.action_timeout for each in types.values()))
         self.greenlets = Group()
         self.listening: socket.socket | None = None
-        self.stalls = self.longest_stall = 0
-        self.reloads: list[int] = []
-
-    def note(self, event: str, **fields: Any) -> None:
-        self.log.note(event, **fields)
 
     # Workers.
 
@@ -131,26 +124,11 @@
         return self.leaving.stage(time.monotonic_ns(), self.desk.owed)
 
     def keep_time(self, over: Callable[[], bool]) -> None:
-        """The one timer: every tick, what is due; how late it comes tells how busy or stalled the process is."""
-        measured = looked = told = 0
+        """The one timer: every tick, what is due."""
+        told = 0
         for now, late in ticks(TICK, over, self.desk.due):
-            if late >= STALL:
-                self.stalls += 1
-                self.longest_stall = max(self.longest_stall, late)
-                # Time alone may send again: not before the coordinator's word that came meanwhile is read.
-                gevent.sleep(SETTLE / SECOND)
-                now = time.monotonic_ns()
-            if now - measured >= PERIOD:
-                measured = now
-                self.admission.measured(now, late)
-            if self.desk.due() <= now:
-                self.desk.tick(now)
+            now = self.beat(now, late)
             self.door.tick(now)
-            if now - looked >= SECOND:
-                looked = now
-                self.told_of(self.membership.tick(now))
-                self.let_go_of_workers()
-                self.log.tick(now)
             if now - told >= TELL:
                 told = now
                 self.note("state", **self.state())
--- a/threadshift/node/placement.py
+++ b/threadshift/node/placement.py
@@ -43,7 +43,6 @@
     load_order: int                      # ns until an order to load counts as lost
     sockets: int
     memory: int                          # bytes
-    cores: float
 
     def links(self, workers: int) -> Told:
         """Bounds of the connections to one of so many workers."""
@@ -103,4 +102,4 @@
         deployed._replace(tick=max(deployed.tick, TICK)), room.share(sockets),
         max(16, size // CALLS_PART // LONGEST_BODY // 2), fields.whole("limits.streamsPerConn", 1),
         fields.ns("limits.connectTimeout", 250 * MS), fields.ns("limits.connIdle", 30 * SECOND),
-        fields.ns("familyInfo.loadWait", 10 * SECOND) or 10 * SECOND, sockets, size, cores)
+        fields.ns("familyInfo.loadWait", 10 * SECOND) or 10 * SECOND, sockets, size)
--- a/threadshift/node/start.py
+++ b/threadshift/node/start.py
@@ -13,8 +13,6 @@
     """Serves until told to end; the exit code."""
     # Held until there is somebody to hear them: a signal's default is to end the process.
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
-    import gc
-
     from threadshift.conf.settings import Malformed
     from threadshift.node import placement
     try:
@@ -24,14 +22,13 @@
         return 2
     import gevent
 
+    from threadshift import collector
     from threadshift.log import Log
     from threadshift.node.front import Node
     log = Log("json", "info", LOG_LINES, front_end=told.name)
     try:
         node = Node(told, environment, log)
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(2_000, 50, 1_000)
+        collector.calm()
         gevent.signal_handler(signal.SIGTERM, node.end)
         gevent.signal_handler(signal.SIGINT, node.end)
         gevent.signal_handler(signal.SIGHUP, node.reload)
