--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -35,8 +35,9 @@
 HELD = 2.0                 # calls held, when told, that press no worker
 SEEN = 0.5                 # calls of ours in flight a worker, from which our counts say more than reports
 ASKS, ASK_WAIT, UNTOLD = 4, 30 * MS, 40    # stops asked a call; later, it is busy; so many told none: no more
+TELLS, ASKED = 0.1, 2.0     # weight of a report in the share that tells of press; questions by that share
 TURNS, GOLDEN = 1 << 20, 0.6180339887  # where front ends' turns begin, by chance; step, even at any length
-PROBED = 100 * MS          # for an answer to a question from a worker that seems silent; far above a network's delay
+PROBED = 100 * MS          # for an answer from a worker that seems silent; far above a network's delay
 ROUND = 100 * MS           # period of the health round; a small part of any target latency in sight
 TYPICAL_START, LOAD_START = 0.25, SECOND   # until seen: usual share of the target latency, a load's time
 PATIENCE, EASE = 4, 0.45   # times the expected until overdue, 98% are in; of the target that answers may take
@@ -278,6 +279,9 @@
     def stands(self, worker: Worker, fn: Function, now: int) -> bool:   # by our own calls, or by others'
         return worker.holds(fn, now) or fn.kept and worker in fn.group
 
+    def copies(self, fn: Function, now: int) -> int:
+        return sum(self.stands(worker, fn, now) for worker in islice(self.walk(fn), fn.width + REACH))
+
     def place(self, act: Activation, now: int) -> Worker | None:
         fn, stops, chosen = act.fn, [], None
         ready = list(islice(self.walk(fn), fn.width + REACH))
@@ -445,7 +449,7 @@
         elif act.answered or act.out or act.begun:
             return
         elif outcome is Outcome.ERROR and len(act.risky) > 1 and not fn.served:
-            # Nobody has ever completed it, two workers failed it: names made up would use up what may be sent again.
+            # Never completed, failed by two workers: names made up would use up what may be sent again.
             self.give_up(act, now)
         elif outcome is Outcome.MISS and not self.loads_itself and copy is not Copy.LOAD_FAILED and (
                 self.hold(worker, fn, now) or fn.name in worker.loads):
@@ -500,11 +504,14 @@
         part = min(1 + EPSILON, *(EASE * kind.target / kind.typical for kind in self.kinds.values()))
         worker.load, worker.told = max(load / max(HELD, self.mean_held * part), waits / WAITING), now
         self.mean_held += TREND * (load - self.mean_held)
+        self.pressed += TELLS * ((worker.load > 1) - self.pressed)
 
     def ask(self, worker: Worker, act: Activation, now: int) -> bool:
         """Whether the activation waits a moment for a report, where the last one is too old to go by."""
         if not self.blind or min(self.may_ask, ASKS - act.asks) <= 0 or (
-                now - max(worker.told, worker.asked) < FRESH_FOR):
+                now - max(worker.told, worker.asked) < FRESH_FOR) or (
+                # Nothing hangs on the answer where all are calm, or no second copy could serve instead.
+                self.chance() >= ASKED * self.pressed or self.copies(act.fn, now) < 2):
             return False
         act.asks, act.asked = act.asks + 1, worker
         if not worker.askers:
@@ -584,8 +591,8 @@
                 self.wake(fn, now)
 
     def probe(self, worker: Worker, send: Send, now: int) -> bool:
-        """Asks a worker that seems silent, once a send, whether it loads: one whose copies were dropped does so for
-        calls that we thought warm, and says nothing meanwhile. Suspended for it, all would be, one by one."""
+        """Asks a worker that seems silent, once a send, whether it loads: one whose copies were dropped does so
+        for calls that we thought warm, and says nothing meanwhile. Suspended for it, all would be, in turn."""
         if not self.may_probe or worker.asked > send.at:
             return False
         worker.asked = now
--- a/threadshift/state.py
+++ b/threadshift/state.py
@@ -125,6 +125,7 @@
     paid: dict[str, int] = field(default_factory=dict)          # until when a tenant's share is used up
     units: float = 0.0           # what a call weighs, over all types
     mean_held: float = 0.0       # calls usually held by a worker of mean size, by reports
+    pressed: float = 0.25        # share of reports, lately, that told of press
     took: deque[int] = field(default_factory=deque)             # times of activations in the load window
     ordered: deque[int] = field(default_factory=deque)          # times of load orders in it
     orders: int = 0              # load orders out
