Own hall first among a spread function's stops, where crossing is priced

Change: place() takes its turns over the group's stops of the own hall, then over the others from a point that turns; acts with a price and many front ends. No zone, no price or few front ends: as before, tested.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -273,6 +273,24 @@
                 asked += Do.ASK in does(call(it, "a", SECOND)[1])
             self.assertTrue(least <= asked / 100 <= most, (pressed, copies, asked))
 
+    def test_own_hall_first_where_crossing_is_priced(self):
+        # front ends, price, the own hall, halls of the stops used: all three stops hold a copy and are idle
+        for fronts, price, zone, used in ((100, 0.03, "a", {"a"}), (100, 0.0, "a", {"a", "b"}),
+                                          (3, 0.03, "a", {"a", "b"}), (100, 0.03, "c", {"a", "b"})):
+            it = front_end(6, front_ends=fronts, crossing=price, zone=zone)
+            it.roster(0, [ready(f"w{n}", zone="ab"[n % 2]) for n in range(6)], full=True)
+            it.spread = lambda fn, kind, now: setattr(fn, "width", 6)
+            for worker in it.fleet:
+                worker.warm["f"] = 9 * SECOND
+            went = [serve(it, now=n * MS) for n in range(60)]
+            self.assertEqual({it.workers[name].zone for name in went}, used, (fronts, price, zone))
+            share = max(went.count(name) for name in set(went)) * len(set(went)) / len(went)
+            self.assertLess(share, 1.3)                     # in turn all the same
+            # What overflows is spread over the others.
+            for worker in it.fleet:
+                worker.limit = 0.0 if worker.zone == "a" else 4.0
+            self.assertEqual(len({serve(it, now=n * MS, ivk=f"b{n}") for n in range(60)}), 3)
+
     def test_reports_tell_how_often_it_is_worth_to_ask(self):
         for held, low, high in ((0.0, 0.0, 0.05), (9.0, 0.95, 1.0)):
             it = self.front_end(0.25)
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -78,6 +78,8 @@
                       for each in told.types}
         self.margin, self.front_ends, self.keep = 2 * told.tick, told.front_ends, told.idle_keep
         self.max_sends, self.may_cancel, self.may_twice = told.max_sends, told.may_cancel, told.may_duplicate
+        self.many = told.front_ends * (1 + EPSILON) > FIRST_LIMIT       # caps of all together bound no load
+        self.zone = told.zone if told.crossing and self.many else None  # own hall first, others being priced
         self.advice, self.loads_itself = told.longest_advice, told.loads_on_miss
         self.load_window, self.load_ratio = told.load_window or 1, told.load_ratio
         self.load_free = -1.0 if not told.may_order else told.load_free if told.load_window else float("inf")
@@ -85,7 +87,6 @@
         self.cold_factor = told.fall_multiple * told.fall_time / RATE_MEMORY
         self.shares = {each.name: int(SECOND * told.front_ends / SKEW / each.per_second)    # ns a call takes
                        if each.per_second > 0 else 0 for each in told.tenants}      # within our part; 0: any
-        self.many = told.front_ends * (1 + EPSILON) > FIRST_LIMIT       # caps of all together bound no load
         self.may_ask, self.may_probe = UNTOLD if told.may_probe and self.many else 0, told.may_probe
         self.before, self.sketch = (Sketch(SKETCH_DEPTH, SKETCH_WIDTH, now) for _ in range(2))
         self.next_round, self.budget, self.load_base = now + ROUND, BUDGET_MOST / 2, float(LOAD_START)
@@ -287,12 +288,16 @@
         ready = list(islice(self.walk(fn), fn.width + REACH))
         group = ready[:fn.width]
         fn.group = dict.fromkeys(group)
-        sizes = list(accumulate(worker.size for worker in group)) or [0.0]  # in turn, the larger more often
+        near = [worker for worker in group if worker.zone == self.zone]     # far ones are for what overflows
+        near, far = near or group, [worker for worker in group if worker.zone != self.zone] if near else []
+        sizes = list(accumulate(worker.size for worker in near)) or [0.0]   # in turn, the larger more often
         shift = min(bisect.bisect(sizes, act.turn * GOLDEN % 1.0 * sizes[-1]), len(sizes) - 1)
+        on = act.turn % max(1, len(far))
         # Heard of a copy since, as by our order after a 'miss', a worker is worth trying again.
         tried = [send.worker for send in act.sends if not send.worker.holds(fn, send.at + self.keep)]
         heft = max(1.0, self.expected(act) / act.kind.typical) / (SPARE if act.spare else 1.0)
-        turned = (one for one in chain(group[shift:], group[:shift], ready[fn.width:]) if one not in tried)
+        turned = (one for one in chain(
+            near[shift:], near[:shift], far[on:], far[:on], ready[fn.width:]) if one not in tried)
         fit = (one for one in chain(turned, tried) if one.ready and self.fit(one, act, now))
         for worker in islice(fit, REACH):
             if stops and worker in tried:
@@ -591,8 +596,8 @@
                 self.wake(fn, now)
 
     def probe(self, worker: Worker, send: Send, now: int) -> bool:
-        """Asks a worker that seems silent, once a send, whether it loads: one whose copies were dropped does so
-        for calls that we thought warm, and says nothing meanwhile. Suspended for it, all would be, in turn."""
+        """Asks a worker that seems silent, once a send, whether it loads: one whose copies were dropped does
+        so for calls that we thought warm, and says nothing. Suspended for it, all would be, in turn."""
         if not self.may_probe or worker.asked > send.at:
             return False
         worker.asked = now
--- a/threadshift/conf/settings.py
+++ b/threadshift/conf/settings.py
@@ -100,6 +100,7 @@
         tenants=tuple(org(n) for n in range(told.whole("orgs.count", 0))),
         front_ends=told.whole("peersTotal", 1),
         zone=told.text("zone", ""),
+        crossing=told.number("fees.crossZone", 0.0),
         tick=told.ns("tick", MS),
         max_sends=told.whole("limits.maxAttempts", 1),
         may_cancel=told.flag("limits.cancel", False),
--- a/threadshift/interface.py
+++ b/threadshift/interface.py
@@ -111,6 +111,7 @@
     tenants: tuple[Tenant, ...] = ()
     front_ends: int = 1
     zone: str = ""
+    crossing: float = 0.0        # price of a send to another zone; 0: none
     tick: int = MS
     max_sends: int = 1
     may_cancel: bool = False
