Circles of imports cut in emulator and gateway; a test holds it so

Cause: front, network and router of the emulator, and admin, front_end and hall of the gateway, imported each other for types. Change: network, admin and hall say what they use of a front end as protocols; a topological order of all modules is a test, which fails on the text before.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,3 +1,5 @@
+import ast
+import graphlib
 import json
 import os
 import platform
@@ -109,3 +111,13 @@
                    "('bgp', 'peers', 'standins', 'packs', 'cli', 'days')]])")
         out = subprocess.run([sys.executable, "-c", program], cwd=ROOT, capture_output=True, text=True)
         self.assertEqual((out.stdout.strip(), out.stderr), ("[]", ""))
+
+
+class Imports(unittest.TestCase):
+    def test_no_circle(self):
+        paths = {".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__"): path
+                 for path in (ROOT / "threadshift").rglob("*.py")}
+        wanted = {name: {each for node in ast.walk(ast.parse(path.read_text())) if isinstance(node, ast.ImportFrom)
+                         for each in (node.module, *(f"{node.module}.{part.name}" for part in node.names))
+                         if each in paths and each != name} for name, path in paths.items()}
+        self.assertEqual(set(graphlib.TopologicalSorter(wanted).static_order()), set(paths))
--- a/threadshift/emulator/front.py
+++ b/threadshift/emulator/front.py
@@ -11,7 +11,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from threadshift.choice import Dispatcher
 from threadshift.days.day import Day
@@ -26,9 +26,6 @@
 from threadshift.links.redial import Redial
 from threadshift.roster.membership import Entry, Membership
 
-if TYPE_CHECKING:
-    from threadshift.emulator.router import ModelHall
-
 # ns of processor: a call read, parsed and placed, or refused at the door; what workers say is in network.py.
 # Together a served call costs 320 us, as measured at saturation with 12 workers.
 CALL, REFUSED = 190_000, 110_000
@@ -53,7 +50,7 @@
         self.membership = Membership(told.drain_grace)
         self.tell, self.refuse = answered, refuse
         self.admission = Admission(min(each.target_latency for each in told.types), weights(told.tenants))
-        self.hall: ModelHall | None = None
+        self.hall: Any = None        # its announcements, where it has any
         self.alive, self.closing = True, False
         self.inbox: deque[tuple] = deque()          # what waits for the processor
         self.busy_until = self.waiting = 0          # ns; the work of the inbox
--- a/threadshift/emulator/network.py
+++ b/threadshift/emulator/network.py
@@ -2,21 +2,27 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
 
 from threadshift.emulator.clock import Clock
 from threadshift.emulator.worker import ModelWorker
 from threadshift.interface import MS
 
-if TYPE_CHECKING:
-    from threadshift.emulator.front import ModelFront
-
 LOCAL = MS // 4            # one way within a machine, with both processes' own time; measured on loopback
 SPREAD = 0.5               # of it, by chance
 REPLY, OTHER = 130_000, 20_000     # ns of a front end's processor; see front.py
 
 
+class Front(Protocol):
+    """What the network knows of a front end."""
+
+    zone: str
+
+    def hear(self, cost: int, act: Callable[..., None], *words: Any) -> None: ...
+    def broke(self, worker: str) -> None: ...
+
+
 class Network:
     """Who reaches whom. A worker that is dead refuses; one that stalls or is cut off swallows until it ends."""
 
@@ -24,7 +30,7 @@
         self.clock, self.zones = clock, zones
         self.chance = random.Random(f"network {seed}").random
         self.workers: dict[str, ModelWorker] = {}
-        self.fronts: dict[str, ModelFront] = {}
+        self.fronts: Mapping[str, Front] = {}       # its owner fills it
 
     def reach(self, worker: str) -> ModelWorker | None:
         it = self.workers.get(worker)
@@ -33,19 +39,19 @@
     def delay(self) -> int:
         return int(LOCAL * (1 + SPREAD * self.chance()))
 
-    def held_up(self, front: ModelFront, it: ModelWorker) -> int:
+    def held_up(self, front: Front, it: ModelWorker) -> int:
         """ns for which nothing passes between them."""
         cut = it.faults.left("cut") if self.zones.get(it.machine.name) != front.zone else 0
         return max(cut, it.faults.left("stall"))
 
-    def forth(self, front: ModelFront, it: ModelWorker, act: Callable[..., None], *words: Any) -> None:
+    def forth(self, front: Front, it: ModelWorker, act: Callable[..., None], *words: Any) -> None:
         self.clock.after(self.delay() + self.held_up(front, it), self.arrive, it, act, *words)
 
     def arrive(self, it: ModelWorker, act: Callable[..., None], *words: Any) -> None:
         if it.alive:            # else it breaks, of which the front end hears by the worker's death
             act(*words)
 
-    def back(self, front: ModelFront, it: ModelWorker, act: Callable[..., None], *words: Any) -> None:
+    def back(self, front: Front, it: ModelWorker, act: Callable[..., None], *words: Any) -> None:
         """An answer, unless the worker died before it left."""
         if it.alive:
             self.clock.after(self.delay() + self.held_up(front, it), front.hear, REPLY, act, *words)
--- a/threadshift/emulator/router.py
+++ b/threadshift/emulator/router.py
@@ -7,7 +7,7 @@
 
 import ipaddress
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from threadshift.bgp.announce import Signs, Standing
 from threadshift.bgp.announcer import Announcer, ServiceAddress
@@ -16,15 +16,13 @@
 from threadshift.days.day import RouterOf
 from threadshift.days.play import FIRST_AS, SERVICE
 from threadshift.emulator.clock import Clock
+from threadshift.emulator.front import ModelFront
 from threadshift.gateway.fitness import fitness
 from threadshift.gateway.hall import EVERY
 from threadshift.gateway.recent import Arrivals, Recent
 from threadshift.interface import SECOND
 from threadshift.standins.router import Router
 
-if TYPE_CHECKING:
-    from threadshift.emulator.front import ModelFront
-
 AGAIN = SECOND             # until a session that was lost stands again; the least pause after a failure
 PREFIX = ipaddress.ip_network(SERVICE)
 
--- a/threadshift/emulator/run.py
+++ b/threadshift/emulator/run.py
@@ -39,7 +39,7 @@
         self.zones = names(day)
         self.network = Network(self.clock, seed, self.zones)
         self.store = ModelStore(self.clock, day.store, self.noter("store"))
-        self.fronts = self.network.fronts
+        self.network.fronts = self.fronts = dict[str, ModelFront]()
         self.lives: list[ModelFront] = []    # of front ends, one a start
         self.entries: dict[str, Entry] = {}
         self.late = 0
--- a/threadshift/gateway/admin.py
+++ b/threadshift/gateway/admin.py
@@ -2,15 +2,21 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING
+from typing import Any, Protocol
 
 from threadshift.gateway.hall import WORDS
 from threadshift.invoke import requests
 from threadshift.invoke.http import Exchange
 from threadshift.invoke.requests import Problem, Response
 
-if TYPE_CHECKING:
-    from threadshift.gateway.front_end import FrontEnd
+
+class Ordered(Protocol):
+    """The front end that takes the orders."""
+
+    hall: Any
+
+    def status(self) -> dict[str, Any]: ...
+    def note(self, event: str, **fields: Any) -> None: ...
 
 
 class Admin:
@@ -18,7 +24,7 @@
 
     closing = False
 
-    def __init__(self, front: FrontEnd):
+    def __init__(self, front: Ordered):
         self.front = front
 
     def handle(self, exchange: Exchange) -> None:
--- a/threadshift/gateway/hall.py
+++ b/threadshift/gateway/hall.py
@@ -3,7 +3,8 @@
 
 import ipaddress
 import time
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable
+from typing import Any, Protocol
 
 from threadshift.bgp.announce import Signs, Standing
 from threadshift.bgp.announcer import Announcer, Preference, ServiceAddress
@@ -14,17 +15,31 @@
 from threadshift.gateway.fitness import fitness
 from threadshift.interface import MS
 
-if TYPE_CHECKING:
-    from threadshift.gateway.front_end import FrontEnd
-
 EVERY = 50 * MS            # between two looks: a quarter of the shortest time that any sign must stand
 WORDS = {"announce": Standing.FULL, "last-resort": Standing.LAST, "withdraw": Standing.WITHDRAWN, "auto": None}
 
 
+class Announced(Protocol):
+    """The front end whose service is announced, as far as its signs go."""
+
+    told: Any
+    desk: Any
+    links: dict[str, Any]
+    listeners: list[Any]
+    admission: Any
+    arrivals: Any
+    recent: Any
+    roster_said: int
+    roster_lost: bool
+    chance: Callable[[], float]
+
+    def note(self, event: str, **fields: Any) -> None: ...
+
+
 class Hall:
     """The announcements of one front end."""
 
-    def __init__(self, front: FrontEnd):
+    def __init__(self, front: Announced):
         told = front.told.announcing
         assert told is not None
         self.front, self.told = front, told
