--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -431,7 +431,7 @@
                 if how == "late":
                     open_.append(it.id.hex())
                 elif how in ("reset", "spoilt"):
-                    # What is spoilt has the connection closed: that ends the send, and all others that are open on it.
+                    # What is spoilt has the connection closed: that ends all sends that are open on it.
                     for mark in (it.id.hex(), *open_):
                         note(name, "cut-off", mark=mark)
                 else:
