With few front ends a second connection is dialled as soon as none is free, as before

What breaks takes both sends along, and there a spare connection costs nothing worth naming. Change: berths.shared() says from how many sends another is dialled, one with up to four front ends, else two.

--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -78,7 +78,10 @@
         for kept, dialling, wanted in (([berth(1)], 0, False), ([berth(2)], 0, True), ([berth(2)], 1, False),
                                        ([berth(2), berth(1)], 0, False), ([berth(2)] * 4, 0, False),
                                        ([berth(doubted=True)], 0, True)):
-            self.assertEqual(berths.another(kept, dialling, 4), wanted)
+            self.assertEqual(berths.another(kept, dialling, 4, berths.shared(200)), wanted)
+        # With few front ends, as soon as none is free: a break takes one send along.
+        for kept, wanted in (([berth(1)], True), ([berth(1), berth()], False)):
+            self.assertEqual(berths.another(kept, False, 4, berths.shared(3)), wanted)
 
     def test_silence_since_a_send_left_is_doubt(self):
         self.assertTrue(berths.doubt(heard=4, left=5))
--- a/threadshift/frames/berths.py
+++ b/threadshift/frames/berths.py
@@ -1,12 +1,12 @@
 """Which connection to a worker carries a send, and when another is dialled. Free of I/O.
 
 A break ends everything open on one connection, and for what must not run twice that is the end. So a worker has
-several connections, the least busy carries the next send, and one more is dialled when each carries two, so that
-what breaks new breaks while nobody uses it. (Dialled when none was free, each of 200 front ends came to two
-connections to nearly every worker it knew: a third of all that were dialled on a calm day, for calls that met once
-in a while.) A connection that left a send unanswered and said nothing since is in doubt: a machine that vanished
-keeps its connections open and silent, and only a new one, which never comes up, proves that what waits for it never
-ran.
+several connections, the least busy carries the next send, and one more is dialled when none is free, with many
+front ends when each carries two, so that what breaks new breaks while nobody uses it. (Dialled when none was free
+there too, each of 200 front ends came to two connections to nearly every worker it knew: a third of all that were
+dialled on a calm day, for calls that met once in a while.) A connection that left a send unanswered and said
+nothing since is in doubt: a machine that vanished keeps its connections open and silent, and only a new one, which
+never comes up, proves that what waits for it never ran.
 """
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 IDLE_MARGIN = SECOND       # before a worker closes an idle connection, in which we leave it alone
 MOST = 8                   # connections to one worker; with more each carries one send and spares nothing further
-SHARED = 2                 # sends on each connection from which another is dialled
+FEW = 4                    # front ends, whose second connections a worker bears at no price worth naming
 PART = 4                   # of the descriptors, one in so many is for workers
 
 
@@ -45,10 +45,16 @@
     return best
 
 
-def another(berths: Iterable[Berth], dialling: bool, most: int) -> bool:
+def shared(front_ends: int) -> int:
+    """Sends on each connection from which another is dialled: with few front ends as soon as none is free, so that a
+    break takes one send along; with many, whose connections add up at the workers, from two."""
+    return 1 if front_ends <= FEW else 2
+
+
+def another(berths: Iterable[Berth], dialling: bool, most: int, shared: int) -> bool:
     """Whether one more is dialled: each carries its share or is in doubt, and there is room for one."""
     berths = list(berths)
-    return not dialling and len(berths) < most and all(len(each.waiting) >= SHARED or each.doubted for each in berths)
+    return not dialling and len(berths) < most and all(len(each.waiting) >= shared or each.doubted for each in berths)
 
 
 def doubt(heard: int, left: int) -> bool:
--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -38,6 +38,7 @@
     idle: int            # ns after which workers close an idle one
     streams: int         # sends on one at once
     most: int            # connections to each worker
+    shared: int          # sends on each from which another is dialled
     buffer: int          # bytes waiting to be written to one
     body: int            # bytes of an answer's body
 
@@ -84,7 +85,7 @@
         id_ = bytes.fromhex(held.ivk)
         frame = encode(INVOKE, id_, f"class={call.type},key={call.function},wait={max(1, left // MS)}", call.body)
         outcome = self.place(id_, (held, number), frame)
-        if self.berths and berths.another(self.berths, self.dialler is not None, self.told.most):
+        if self.berths and berths.another(self.berths, self.dialler is not None, self.told.most, self.told.shared):
             self.dial()
         return outcome
 
--- a/threadshift/node/placement.py
+++ b/threadshift/node/placement.py
@@ -47,6 +47,7 @@
     def links(self, workers: int) -> Told:
         """Bounds of the connections to one of so many workers."""
         return Told(self.connect, WRITE, self.idle, self.streams, berths.share(self.sockets, workers),
+                    berths.shared(self.deployment.front_ends),
                     self.memory // BUFFER_PART + 2 * LONGEST_BODY, self.memory // BODY_PART)
 
 
