Read again: unfit records end in one place, a second copy is looked for no further than found

Found on reading: door.py caught Unfit beside a grown field twice, once for parameters and once for a body, and again around each end; ask() in choice.py walked all stops that place() looks at and counted all copies, though two tell; the request for /alive was put together in two tests. Change: hear() catches Unfit for both records; reach() is the stops looked at, for place() and choosable(), which ends at the second copy; Client.alive() in tests/platform.py. Behaviour as it was.

--- a/tests/platform.py
+++ b/tests/platform.py
@@ -134,6 +134,10 @@
         headers = dict(line.split(": ", 1) for line in head.decode().split("\r\n"))
         return int(headers.pop("Status").split()[0]), headers, body
 
+    def alive(self):
+        self.send(begin() + params(1, {"SCRIPT_NAME": "/alive"}) + stream(STDIN, 1, b""))
+        return self.answer()
+
     def abort(self, number=1):
         self.send(record(ABORT, number))
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -74,9 +74,7 @@
     def test_alive_is_told_while_it_can_serve(self):
         with Platform() as it:
             def alive():
-                client = it.client()
-                client.send(begin() + params(1, {"SCRIPT_NAME": "/alive"}) + stream(STDIN, 1, b""))
-                return client.answer()[0]
+                return it.client().alive()[0]
             self.assertEqual(alive(), 200)
             it.node.end()
             self.assertEqual(alive(), 503)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -15,9 +15,8 @@
 from gevent import subprocess
 
 from tests.live import free_port, until
-from tests.platform import Client, Coordinator, Worker, begin, configuration, event, instance, params
+from tests.platform import Client, Coordinator, Worker, configuration, event, instance
 from threadshift.conf.values import Address
-from threadshift.fastcgi.codec import STDIN, stream
 
 ROOT = Path(__file__).resolve().parent.parent
 PROBES = """
@@ -84,8 +83,7 @@
             except OSError:
                 gevent.sleep(0.02)
                 return False
-            client.send(begin() + params(1, {"SCRIPT_NAME": "/alive"}) + stream(STDIN, 1, b""))
-            answer = client.answer()
+            answer = client.alive()
             client.close()
             return answer and answer[0] == 200
         until(alive)
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -280,12 +280,16 @@
     def stands(self, worker: Worker, fn: Function, now: int) -> bool:   # by our own calls, or by others'
         return worker.holds(fn, now) or fn.kept and worker in fn.group
 
-    def copies(self, fn: Function, now: int) -> int:
-        return sum(self.stands(worker, fn, now) for worker in islice(self.walk(fn), fn.width + REACH))
+    def reach(self, fn: Function) -> Iterator[Worker]:     # the stops that are looked at
+        return islice(self.walk(fn), fn.width + REACH)
+
+    def choosable(self, fn: Function, now: int) -> bool:   # whether a second copy could serve instead
+        standing = (worker for worker in self.reach(fn) if self.stands(worker, fn, now))
+        return len(list(islice(standing, 2))) == 2
 
     def place(self, act: Activation, now: int) -> Worker | None:
         fn, stops, chosen = act.fn, [], None
-        ready = list(islice(self.walk(fn), fn.width + REACH))
+        ready = list(self.reach(fn))
         group = ready[:fn.width]
         fn.group = dict.fromkeys(group)
         near = [worker for worker in group if worker.zone == self.zone]     # far ones are for what overflows
@@ -516,7 +520,7 @@
         if not self.blind or min(self.may_ask, ASKS - act.asks) <= 0 or (
                 now - max(worker.told, worker.asked) < FRESH_FOR) or (
                 # Nothing hangs on the answer where all are calm, or no second copy could serve instead.
-                self.chance() >= ASKED * self.pressed or self.copies(act.fn, now) < 2):
+                self.chance() >= ASKED * self.pressed or not self.choosable(act.fn, now)):
             return False
         act.asks, act.asked = act.asks + 1, worker
         if not worker.askers:
--- a/threadshift/fastcgi/door.py
+++ b/threadshift/fastcgi/door.py
@@ -135,10 +135,11 @@
         elif kind == ABORT:
             del self.open[number]
             self.let_go(request)
-        elif kind == PARAMS:
-            self.params(request, content)
-        elif kind == STDIN:
-            self.stdin(request, content)
+        elif kind in (PARAMS, STDIN):
+            try:
+                (self.params if kind == PARAMS else self.stdin)(request, content)
+            except Unfit as problem:
+                self.unfit(request, problem)
         else:
             raise Refused(f"type {kind} is not for a client to send")
 
@@ -160,17 +161,15 @@
             request.respond(b"", codec.UNKNOWN_ROLE)
 
     def params(self, request: Request, content: bytes) -> None:
+        """Raises Unfit, as stdin() does."""
         if request.told is not None:
             raise Refused("parameters after their end")
         if content:
             request.params += content
             if len(request.params) > LONGEST_PARAMS:
-                self.unfit(request, Unfit(413, f"parameters pass {LONGEST_PARAMS} bytes"))
+                raise Unfit(413, f"parameters pass {LONGEST_PARAMS} bytes")
             return
-        try:
-            request.told, request.params = requests.parameters(request.params), b""
-        except Unfit as problem:
-            self.unfit(request, problem)
+        request.told, request.params = requests.parameters(request.params), b""
 
     def stdin(self, request: Request, content: bytes) -> None:
         if request.told is None:
@@ -180,13 +179,10 @@
         if content:
             request.body += content
             if len(request.body) > LONGEST_BODY:
-                self.unfit(request, Unfit(413, f"a body passes {LONGEST_BODY} bytes"))
+                raise Unfit(413, f"a body passes {LONGEST_BODY} bytes")
             return
         unread, self.unread = self.unread, 0
-        try:
-            self.door.take(request, unread)
-        except Unfit as problem:
-            self.unfit(request, problem)
+        self.door.take(request, unread)
 
     def unfit(self, request: Request, problem: Unfit) -> None:
         self.offences += 1
