A load limit may fall below one; lone copies are asked about while the store is not crowded

Ruled out: own hall first (crossing is not priced there). Lines at fault: choosable() in ask().

Change: ask() wants a second copy only while loads of ours were crowded lately, and load_limit may fall to LOADS / front ends (a tenth at least) instead of one: may_load() then lets one load go and none for as long as makes up for it. Before, each front end kept one load at a time at the least, which by 50 and more kept a crowded store crowded.

--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -55,7 +55,7 @@
 SOON = 0.5                 # of the usual load time: with less time left no load that has not begun can serve
 ADVICE = 0.5               # of the longest advice is by chance: all told the same, they come back as one
 LOADS, WIDEN = 3.0, 0.5    # loads at once a worker, by all front ends; of them, open to further copies
-CROWDED = 2.0              # times the usual load time that tell a crowded store
+CROWDED, LEAST_LOADS = 2.0, 0.1    # times the usual load time that tell a crowded store; ours at once, then
 
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT, Outcome.MISS)
 FAILED = (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR)
@@ -150,6 +150,7 @@
         self.most_workers = max(self.most_workers, len(self.fleet))
         self.most_loads = max(1.0, len(self.fleet) * min(1.0, LOADS / self.front_ends))
         self.load_limit = self.load_limit or self.most_loads
+        self.least_loads = min(1.0, max(LEAST_LOADS, LOADS / self.front_ends))
         return []
 
     def walk(self, fn: Function) -> Iterator[Worker]:
@@ -320,7 +321,7 @@
         first, warm = stops[0], [worker for worker in stops if self.stands(worker, fn, now)]
         if not warm:
             coming = next((worker for worker in stops if worker.loading(fn)), None)
-            if coming is None and self.may_load():
+            if coming is None and self.may_load(now):
                 # Not home: spread over more stops, home may be no stop at all, cold or suspended.
                 return next((worker for worker in stops if self.room(worker, now)), first)
             if coming is None and self.hopeless(act, now):
@@ -338,7 +339,7 @@
                 self.press(one, now) * heft * EASE <= (1.0 if self.blind else act.kind.grade))]
             able.sort(key=lambda one: (self.blind and self.press(one, now), len(one.sends) / one.limit))
             chosen = able[0] if able else next(
-                (worker for worker in stops if self.room(worker, now) and self.may_load(WIDEN)), None)
+                (worker for worker in stops if self.room(worker, now) and self.may_load(now, WIDEN)), None)
             if len(self.waiting(fn)) < fn.lanes and any(worker.calls(fn) for worker in warm):
                 fn.parked.append(act)   # sent on, it would make the worker start a copy that few calls use
                 chosen = None
@@ -350,8 +351,11 @@
         """Whether it could only wait for its time to end: no load is under way, and none could be in time."""
         return act.due - now < SOON * (act.fn.load or self.load_base)
 
-    def may_load(self, part: float = 1.0) -> bool:
-        return self.orders + self.cold_out < self.load_limit * part
+    def may_load(self, now: int, part: float = 1.0) -> bool:
+        room, out = self.load_limit * part, self.orders + self.cold_out
+        # Room for less than one: one at a time, then none for as long as makes up for it. A least of one each, by
+        # all together, is what crowds a store.
+        return out < room if room >= 1 else not out and now - self.load_at >= self.load_base * (1 / room - 1)
 
     def recent(self, times: deque[int], now: int) -> int:
         while times and times[0] <= now - self.load_window:
@@ -361,12 +365,12 @@
     def hold(self, worker: Worker, fn: Function, now: int) -> bool:
         """Every load order passes here: rationed by rule, paced by us, one a function at a time."""
         most = self.load_free + self.load_ratio * self.recent(self.took, now)
-        if not worker.ready or fn.pause > now or fn.name in worker.loads or not self.may_load(WIDEN) or (
+        if not worker.ready or fn.pause > now or fn.name in worker.loads or not self.may_load(now, WIDEN) or (
                 self.recent(self.ordered, now) + 1 > most):
             return False
         worker.loads.add(fn.name)
         fn.pause = now + int(fn.load or self.load_base)
-        self.orders += 1
+        self.orders, self.load_at = self.orders + 1, now
         self.ordered.append(now)
         self.out.append(Step(Do.HOLD, worker=worker.name, fn=fn.name, amount=1))
         return True
@@ -395,6 +399,7 @@
         act.sends.append(send)
         worker.sends[send] = self.flying[send] = None
         act.out, self.cold_out = act.out + 1, self.cold_out + (not send.warm)
+        self.load_at = self.load_at if send.warm else now
         worker.credit = max(0.0, worker.credit - self.weight(act))
         self.out.append(Step(Do.SEND, act, worker.name))
         return True
@@ -519,8 +524,10 @@
         """Whether the activation waits a moment for a report, where the last one is too old to go by."""
         if not self.blind or min(self.may_ask, ASKS - act.asks) <= 0 or (
                 now - max(worker.told, worker.asked) < FRESH_FOR) or (
-                # Nothing hangs on the answer where all are calm, or no second copy could serve instead.
-                self.chance() >= ASKED * self.pressed or not self.choosable(act.fn, now)):
+                # Nothing hangs on the answer where all are calm, or no second copy stands and the store, being
+                # crowded, could bring none soon.
+                self.chance() >= ASKED * self.pressed or self.load_limit < self.most_loads and not (
+                    self.choosable(act.fn, now))):
             return False
         act.asks, act.asked = act.asks + 1, worker
         if not worker.askers:
@@ -552,9 +559,9 @@
 
     def crowd(self, crowded: bool, now: int) -> None:    # lengthening or failing loads mean fewer at once
         if not crowded:
-            self.load_limit = min(self.load_limit + 1 / self.load_limit, self.most_loads)
+            self.load_limit = min(self.load_limit + min(1.0, 1 / self.load_limit), self.most_loads)
         elif now - self.load_cut >= CUT_PAUSE:
-            self.load_limit, self.load_cut = max(1.0, CUT * self.load_limit), now
+            self.load_limit, self.load_cut = max(self.least_loads, CUT * self.load_limit), now
 
     def ease(self, worker: Worker, now: int) -> None:
         """Too much for it, whether small, slow, full or pressed by others: it gets fewer at a time."""
