A worker is not forgotten while a question to it is out: its answer was a KeyError

Now questions out are counted, and a worker with one is kept. The test fails with the KeyError without it.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -421,6 +421,23 @@
             self.assertEqual(asked, [home], (outcome, report))      # once a send, not again and again
             self.assertEqual(bool(it.workers[home].until), suspended, (outcome, report))
 
+    def test_a_worker_is_not_forgotten_while_a_question_to_it_is_out(self):
+        # Found by a drawn day with a hall lost under a deploy: the answer named a worker that was forgotten.
+        it = front_end(20, may_probe=True)
+        home = serve(it, ivk="first")
+        act, _ = call(it, "late", now=20 * MS)
+        now, steps = 20 * MS, []
+        while Do.ASK not in does(steps):
+            now += 20 * MS
+            steps = it.tick(now)
+        act.returned(now, 0, Outcome.RESET, now)
+        it.roster(now, [ready(f"new{n}") for n in range(3)], full=True)
+        self.assertEqual({name for name in it.workers if not name.startswith("new")}, {home})
+        it.told(now, home, Outcome.RESET, None)
+        for life in "abc":                              # nor kept for good
+            it.roster(now, [ready(f"{life}{n}") for n in range(20)], full=True)
+        self.assertNotIn(home, it.workers)
+
     def test_full_answers_shrink_the_limit_once_a_while(self):
         it = front_end(1)
         for n, limit in ((0, 0.85), (1, 0.85)):
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -133,7 +133,7 @@
         # Points of new workers are added, those of unready ones passed over: a ring made anew costs too much,
         # but for names that never come back, once they are many: walks would pass over ever more of them.
         left = [worker for worker in self.workers.values() if worker.gone and not (
-            worker.sends or worker.loads or worker.askers)]
+            worker.sends or worker.loads or worker.asking)]
         if len(left) > max(LEFT, len(self.fleet)):
             for worker in left:
                 del self.workers[worker.name]
@@ -531,14 +531,14 @@
             return False
         act.asks, act.asked = act.asks + 1, worker
         if not worker.askers:
-            worker.asked = now
-            self.out.append(Step(Do.ASK, worker=worker.name))
+            self.question(worker, now)
         worker.askers.append(act)
         heapq.heappush(self.heap, (worker.asked + ASK_WAIT, self.number(), act))
         return True
 
     def told(self, now: int, name: str, outcome: Outcome, report: Report | None) -> list[Step]:
         worker = self.workers[name]
+        worker.asking -= 1
         self.hear(worker, now, report)
         if outcome is not Outcome.COMPLETED:    # turned away or lost, it tells as much as a long queue
             worker.load, worker.told = SILENT, now
@@ -611,10 +611,13 @@
         so for calls that we thought warm, and says nothing. Suspended for it, all would be, in turn."""
         if not self.may_probe or worker.asked > send.at:
             return False
-        worker.asked = now
-        self.out.append(Step(Do.ASK, worker=worker.name))
+        self.question(worker, now)
         return True
 
+    def question(self, worker: Worker, now: int) -> None:
+        worker.asked, worker.asking = now, worker.asking + 1    # while one is out it is not forgotten
+        self.out.append(Step(Do.ASK, worker=worker.name))
+
     def move(self, send: Send, now: int) -> None:    # off a suspended worker
         act = send.act
         if act.answered or act.begun or act.out > 1 or act.kind.effect is not Effect.REPEATABLE or (
--- a/threadshift/state.py
+++ b/threadshift/state.py
@@ -74,6 +74,7 @@
     load: float = 0.0            # over what it should carry, by its latest report or its silence ...
     told: int = 0                # ... and when that was
     asked: int = 0               # when it was last asked for a report
+    asking: int = 0              # questions that are out
     askers: list[Activation] = field(default_factory=list)      # waiting for that report
     sends: dict[Send, None] = field(default_factory=dict)   # ours in flight, oldest first
     warm: dict[str, int] = field(default_factory=dict)      # function: a copy is believed to stand until then
