With many front ends a silent worker is asked whether it is there, though it might load

Lines at fault: patience(), which gives a function kept by others' calls four load times, 1.5 to 4 s, as its copy may have to be loaded; with many front ends most functions are so.

Change: there round() asks the worker after what a warm call may take. No answer within 100 ms is silence, as ever; an answered question leaves it the old patience.

--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -539,6 +539,7 @@
     def told(self, now: int, name: str, outcome: Outcome, report: Report | None) -> list[Step]:
         worker = self.workers[name]
         worker.asking -= 1
+        worker.there = now if outcome is Outcome.COMPLETED else worker.there
         self.hear(worker, now, report)
         if outcome is not Outcome.COMPLETED:    # turned away or lost, it tells as much as a long queue
             worker.load, worker.told = SILENT, now
@@ -578,20 +579,26 @@
         worker.until, worker.suspensions = now + int(length), worker.suspensions + 1
         worker.warm.clear()
 
-    def patience(self, send: Send) -> float:
+    def patience(self, send: Send) -> tuple[float, float]:
+        """From when on its worker is asked whether it is there; and until when it may be loading for it."""
+        usual = max(PATIENCE * self.expected(send.act), EASE * send.act.kind.target)
         load = 0 if send.warm and not send.act.fn.kept else 2 * CROWDED * (send.act.fn.load or self.load_base)
-        return load + max(PATIENCE * self.expected(send.act), EASE * send.act.kind.target)
+        return usual + (0 if self.may_probe and self.many else load), usual + load
 
     def round(self, now: int) -> None:
         """Looks for workers that answer nothing and moves what may be moved away from them."""
         if now < self.next_round:
             return
         self.next_round = now + ROUND
-        for send in [each for each in self.flying if now - each.at > self.patience(each)]:
-            worker = send.worker
+        for send, (asks, loads) in [(each, self.patience(each)) for each in self.flying]:
+            worker, waited = send.worker, now - send.at
+            if waited <= asks:
+                continue
             if worker.heard < send.at and worker.until <= now:
                 if self.may_probe and now - worker.asked < PROBED or self.probe(worker, send, now):
                     continue
+                if waited <= loads and worker.there > send.at:
+                    continue        # it answers questions, so it may load
                 worker.strikes = STRIKES
                 self.strike(worker, now)
             if worker.until > now or not worker.ready:
--- a/threadshift/state.py
+++ b/threadshift/state.py
@@ -75,6 +75,7 @@
     told: int = 0                # ... and when that was
     asked: int = 0               # when it was last asked for a report
     asking: int = 0              # questions that are out
+    there: int = 0               # when it last answered one
     askers: list[Activation] = field(default_factory=list)      # waiting for that report
     sends: dict[Send, None] = field(default_factory=dict)   # ours in flight, oldest first
     warm: dict[str, int] = field(default_factory=dict)      # function: a copy is believed to stand until then
