Twelve front ends as processes, eight killed at once; a client dials anew where its connection ended

Found by it: the stand-in client wrote its next call to a kept connection that had ended with its front end, which counted as a call without an answer. Client.ask() now looks whether a kept connection was closed, as its description always said; a test of its own fails without it.

--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -1,13 +1,23 @@
 """What days with many front ends lose, and to what; and the words of day files that such days need."""
+import tempfile
 import unittest
 from collections import Counter
+from pathlib import Path
+
+from gevent.event import Event
+from gevent.server import StreamServer
 
 from tests.test_audit import ASKED_FREE, DONE, FREE, SENT, T0, seen
+from threadshift.audit.records import by, read
+from threadshift.audit.report import audit
 from threadshift.conf.reading import Mistake
+from threadshift.conf.values import Address
 from threadshift.days.day import read_text
 from threadshift.days.orders import orders
+from threadshift.days.play import Conductor
 from threadshift.days.traffic import tries
 from threadshift.interface import MS, SECOND, Deployment, Effect, NamespaceType
+from threadshift.invoke.client import Client
 from threadshift.trials.causes import CAUSES, jain, losses
 
 TYPES = (NamespaceType("t", 500 * MS, 2 * SECOND, 1.0, 0.3, Effect.REPEATABLE),)
@@ -102,3 +112,104 @@
         self.assertLess(max(even.values()), 2 * mean)
         with self.assertRaisesRegex(Mistake, "uneven 0.5"):
             read_text(DAY.replace("uneven 2", "uneven 0.5"))
+
+
+PROCESSES = """
+length 7s
+front-ends 12
+uneven 1.5
+fleet-of 24 {
+    zones hall-a hall-b hall-c
+    cores 1
+}
+store {
+    capacity 20
+    load-time 100ms
+}
+type t {
+    target-latency 600ms
+    action-timeout 2500ms
+    effect repeatable
+}
+type once {
+    target-latency 600ms
+    action-timeout 2500ms
+    effect once-only
+}
+functions * {
+    type t
+    lanes 2
+}
+fleet {
+    probe yes
+    load-window 5s
+    load-free 6
+    load-ratio 20%
+    cold-share 20%
+    cold-time 3s
+    fall-multiple 2
+}
+traffic t {
+    type t
+    functions 30
+    rate 60
+    work 20ms
+    retries 1
+}
+traffic once {
+    type once
+    functions 6
+    rate 10
+    work 20ms
+}
+trouble herd at 2s for 300ms share 0.67
+trouble balancer_stall at 1s for 2s front 0
+trouble balancer_stall at 3s for 2s front 1
+trouble stall at 1500ms for 2s workers 2
+trouble deploy at 2500ms for 2s workers 4
+"""
+
+
+class Kept(unittest.TestCase):
+    def test_a_client_dials_anew_where_its_connection_ended_between_two_calls(self):
+        closed = Event()
+
+        def once(sock, _):
+            with sock:
+                sock.recv(4096)
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            closed.set()
+        server = StreamServer(("127.0.0.1", 0), once)
+        server.start()
+        try:
+            client = Client(Address("127.0.0.1", server.server_port), limit=2 * SECOND)
+            for _ in range(2):
+                self.assertEqual(client.ask("GET", "/").status, 200)
+                self.assertTrue(closed.wait(2))
+                closed.clear()
+            client.close()
+        finally:
+            server.stop()
+
+
+class Processes(unittest.TestCase):
+    """Twelve front ends and 24 workers, each a process: eight killed at once and back at once, two stopped; two
+    workers that read nothing, four replaced."""
+
+    def test_rules_and_shares_hold_while_most_front_ends_die_at_once(self):
+        with tempfile.TemporaryDirectory() as folder:
+            day = read_text(PROCESSES, seed=3)
+            Conductor(day, PROCESSES, 3, Path(folder)).play()
+            verdict = audit(Path(folder))
+            told = read(Path(folder))
+        self.assertEqual(verdict.breaches, [])
+        killed = [each for each in by(told, "killing") if each["who"].startswith("front")]
+        self.assertEqual(len(killed), 8)
+        self.assertEqual(len(by(told, "stopped")), 2)
+        self.assertFalse(by(told, "fell-over"))
+        found = losses(told, day.told.deployment)
+        # Nobody is left out for good: who stayed up, or came back, serves; a copy is not brought by each of them.
+        shares = [got / asked for asked, got in found.served.values() if asked >= 5]
+        self.assertGreater(jain(shares), 0.8, found.served)
+        self.assertGreater(verdict.ratio, 0.5, verdict.line)
+        self.assertLess(found.loads, 36 * 6, found)
--- a/threadshift/invoke/client.py
+++ b/threadshift/invoke/client.py
@@ -54,7 +54,8 @@
         reply = Reply()
         reply.parser = httptools.HttpResponseParser(reply)
         try:
-            if self.sock is None:
+            if self.sock is None or self.ended():
+                self.close()
                 self.sock = connect(self.address, 5 * SECOND)
             self.sock.settimeout((limit or self.limit) / SECOND)
             self.sock.sendall("\r\n".join([*lines, "", ""]).encode("latin-1") + body)
@@ -73,6 +74,19 @@
             self.close()
         return reply
 
+    def ended(self) -> bool:
+        """Whether the other side closed the kept connection meanwhile. Found by a day on which most front ends were
+        killed at once: the next call went to a connection that had ended with its front end, and was lost."""
+        assert self.sock is not None
+        self.sock.settimeout(0.0)
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        return True                     # bytes that nobody asked for end it, too
+
     def close(self) -> None:
         if self.sock is not None:
             self.sock.close()
