--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -357,8 +357,8 @@
 
     def may_load(self, now: int, part: float = 1.0) -> bool:
         room, out = self.load_limit * part, self.orders + self.cold_out
-        # Room for less than one: one at a time, then none for as long as makes up for it. A least of one each,
-        # by all together, is what crowds a store.
+        # Room for less than one: one at a time, then none for as long as makes up for it. A least of one
+        # each, by all together, is what crowds a store.
         return out < room if room >= 1 else not out and now - self.load_at >= self.load_base * (1 / room - 1)
 
     def recent(self, times: deque[int], now: int) -> int:
