Read again: one utility, one cold capacity, one look at an ended connection; same decisions

Need: the change wrote again what stood. trials/causes.py had the formulas of utility in time and of what a cold worker bears, now audit's gains() and borne(), and grouped records by mark twice; Client.ended() was links.sockets.shows(); benchmarks/many.py set constants by itself, now trials' constants_of(), which also puts them back; the trouble herd repeats front_kill, now one branch; least_loads was worked out at each roster though it follows from the start; round() built patiences in a list first.

The test of causes tells 'quits' as the records do; its assertions stand.

--- a/benchmarks/many.py
+++ b/benchmarks/many.py
@@ -16,13 +16,14 @@
 from concurrent.futures import ProcessPoolExecutor, as_completed
 from pathlib import Path
 
-from threadshift import choice
 from threadshift.audit.rules import breaches
 from threadshift.days.day import read_text
 from threadshift.emulator.run import Emulation
 from threadshift.trials.causes import CAUSES, jain, losses
 from threadshift.trials.figures import interval
 from threadshift.trials.policies import POLICIES
+from threadshift.trials.runs import constants_of
+from threadshift.trials.scenario import Job
 
 SIZES = (1, 3, 12, 50, 200)
 DAYS = {
@@ -97,12 +98,11 @@
 
 
 def play(policy: str, name: str, fronts: int, uneven: float, seed: int, constants: tuple = ()) -> dict:
-    for told in constants:       # of choice.py, for this process
-        setattr(choice, told.partition("=")[0], float(told.partition("=")[2]))
     text = TEXT.format(fronts=fronts, uneven=uneven) + "\n".join(f"trouble {each}" for each in DAYS[name]) + "\n"
     day = read_text(text, seed=seed)
-    it = Emulation(day, seed, POLICIES[policy])
-    it.run()
+    with constants_of(Job({}, seed, policy, constants, text)):
+        it = Emulation(day, seed, POLICIES[policy])
+        it.run()
     seen = it.seen()
     found = losses(seen, day.told.deployment)
     told = breaches(seen, day.told.deployment, day.fleet.cores)
@@ -127,7 +127,8 @@
             for day in options.day or DAYS for fronts in map(int, options.sizes.split(","))
             for policy in options.policy or ["threadshift"]]
     with ProcessPoolExecutor(options.processes) as pool, out.open("a") as file:
-        told = tuple(options.constant or ())
+        told = tuple(("choice", name, float(value)) for name, _, value in (
+            each.partition("=") for each in options.constant or ()))
         for each in as_completed([pool.submit(play, *job, told) for job in jobs if job not in known]):
             file.write(json.dumps(each.result()) + "\n")
             file.flush()
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -7,7 +7,7 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from tests.test_audit import ASKED_FREE, DONE, FREE, SENT, T0, seen
+from tests.test_audit import DONE, FREE, SENT, T0, seen
 from threadshift.audit.records import by, read
 from threadshift.audit.report import audit
 from threadshift.conf.reading import Mistake
@@ -42,6 +42,8 @@
 UP = (-60_000, "up", "w0", {"cores": 2})
 COLD = (-1_000, "up", "w1", {"cores": 2})
 SEND = SENT | {"function": "f"}
+STAYS = FREE | {"quits": False}
+ASKED_FREE = (0, "try", "clients", STAYS | {"mark": "a"})
 
 
 def send(at, worker="w0", **changes):
@@ -55,7 +57,7 @@
 class Causes(unittest.TestCase):
     def test_each_loss_is_put_down_to_the_first_cause_its_records_show(self):
         late = (900, *DONE[1:])
-        other = [(-100, "try", "clients", FREE | {"mark": "b", "first": "b"}),
+        other = [(-100, "try", "clients", STAYS | {"mark": "b", "first": "b"}),
                  (-90, "invoke", "w0", SEND | {"mark": "b", "front": "front-1"})]
         ran, done = (20, "run", "w0", SEND), (850, "done", "w0", {"mark": "a"})
         refused = (5, "answer", "clients", {"mark": "a", "final": "rejected"})
--- a/threadshift/audit/report.py
+++ b/threadshift/audit/report.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -45,17 +46,22 @@
                 f"orders {self.orders} duplicates {duplicates} silent-drops {dropped} breaches {len(self.breaches)}")
 
 
+def gains(seen: list[Seen], it: Deployment) -> Iterator[tuple[list[Seen], float, float]]:
+    """Each call whose first try did not quit: its tries, the utility asked for, and what they got in time."""
+    types = {each.name: each for each in it.types}
+    for tries, done in chains(seen):
+        if not tries[0]["quits"]:
+            type_ = types[tries[0]["type"]]
+            yield tries, type_.utility, 0.0 if done is None else type_.utility * (
+                1 if done - tries[0].t <= type_.target_latency else type_.late_utility)
+
+
 def utility(seen: list[Seen], it: Deployment) -> tuple[float, float]:
     """Utility asked for by first tries that did not quit, and what their tries got in time."""
-    types = {each.name: each for each in it.types}
     asked = in_time = 0.0
-    for tries, done in chains(seen):
-        if tries[0]["quits"]:
-            continue
-        type_ = types[tries[0]["type"]]
-        asked += type_.utility
-        if done is not None:
-            in_time += type_.utility * (1 if done - tries[0].t <= type_.target_latency else type_.late_utility)
+    for _, wanted, got in gains(seen, it):
+        asked += wanted
+        in_time += got
     return asked, in_time
 
 
--- a/threadshift/audit/rules.py
+++ b/threadshift/audit/rules.py
@@ -249,6 +249,12 @@
                                 f"{each['front']} was told that it drains or is gone")
 
 
+def borne(it: Deployment, cores: int, age: int) -> float:
+    """ms of work that a worker of this age, not yet warm, bears within the fall time."""
+    able = it.cold_share + (1 - it.cold_share) * age / it.cold_time
+    return it.fall_multiple * able * cores * it.fall_time / MS
+
+
 def cold_workers_stand(seen: list[Seen], it: Deployment, cores: int) -> Iterator[Breach]:
     """Rule 4: no cold worker is sent more than it bears."""
     if not it.cold_time:
@@ -265,8 +271,7 @@
             recent.append((each.t, each["work_ms"]))
             while recent[0][0] <= each.t - it.fall_time:
                 recent.popleft()
-            able = it.cold_share + (1 - it.cold_share) * (each.t - up[each.source]) / it.cold_time
-            bears = it.fall_multiple * able * cores * it.fall_time / MS
+            bears = borne(it, cores, each.t - up[each.source])
             work = sum(work for _, work in recent)
             if work > bears and len(recent) > COLD_SLACK:
                 yield Breach(4, f"{each.source}, {(each.t - up[each.source]) // MS} ms old, was sent {work:.0f} ms "
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -83,6 +83,7 @@
         self.zone = told.zone if told.crossing and self.many else None  # own hall first, others being priced
         self.advice, self.loads_itself = told.longest_advice, told.loads_on_miss
         self.load_window, self.load_ratio = told.load_window or 1, told.load_ratio
+        self.least_loads = min(1.0, max(LEAST_LOADS, LOADS / told.front_ends))  # when crowded
         self.load_free = -1.0 if not told.may_order else told.load_free if told.load_window else float("inf")
         self.cold_share, self.cold_time, self.fall_time = told.cold_share, told.cold_time, told.fall_time
         self.cold_factor = told.fall_multiple * told.fall_time / RATE_MEMORY
@@ -152,7 +153,6 @@
         self.most_workers = max(self.most_workers, len(self.fleet))
         self.most_loads = max(1.0, len(self.fleet) * min(1.0, LOADS / self.front_ends))
         self.load_limit = self.load_limit or self.most_loads
-        self.least_loads = min(1.0, max(LEAST_LOADS, LOADS / self.front_ends))
         return []
 
     def walk(self, fn: Function) -> Iterator[Worker]:
@@ -603,8 +603,8 @@
         if now < self.next_round:
             return
         self.next_round = now + ROUND
-        for send, (asks, loads) in [(each, self.patience(each)) for each in self.flying]:
-            worker, waited = send.worker, now - send.at
+        for send in list(self.flying):
+            worker, waited, (asks, loads) = send.worker, now - send.at, self.patience(send)
             if waited <= asks:
                 continue
             if worker.heard < send.at and worker.until <= now:
--- a/threadshift/days/orders.py
+++ b/threadshift/days/orders.py
@@ -76,10 +76,9 @@
     if it.kind == "balancer_stall":
         return [Order(it.at, f"front-{it.front}", "!stop"),
                 Order(it.at + min(it.length, 2 * SECOND), f"front-{it.front}", "!go-on")]
-    if it.kind == "front_kill":
-        return [Order(it.at, f"front-{it.front}", "!kill"), Order(it.at + it.length, f"front-{it.front}", "!renew")]
-    if it.kind == "herd":       # so many front ends at once, and all back at once
-        killed = chance.sample(range(day.front_ends), max(1, round(it.share * day.front_ends)))
+    if it.kind in ("front_kill", "herd"):       # one, or so many at once, and all back at once
+        killed = [it.front] if it.kind == "front_kill" else chance.sample(
+            range(day.front_ends), max(1, round(it.share * day.front_ends)))
         return [order for n in sorted(killed) for order in
                 (Order(it.at, f"front-{n}", "!kill"), Order(it.at + it.length, f"front-{n}", "!renew"))]
     if it.kind == "front_drain":
--- a/threadshift/invoke/client.py
+++ b/threadshift/invoke/client.py
@@ -1,6 +1,7 @@
 """A small HTTP/1.1 client for the command line, load and tests: one connection, one request at a time."""
 from __future__ import annotations
 
+import select
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -10,7 +11,7 @@
 
 from threadshift.conf.values import Address
 from threadshift.interface import SECOND
-from threadshift.links.sockets import READ, connect
+from threadshift.links.sockets import READ, connect, shows
 
 
 class NoAnswer(Exception):
@@ -54,8 +55,11 @@
         reply = Reply()
         reply.parser = httptools.HttpResponseParser(reply)
         try:
-            if self.sock is None or self.ended():
+            # Closed meanwhile, or with bytes that nobody asked for. Found by a day on which most front ends were
+            # killed at once: the next call went to a connection that had ended with its front end, and was lost.
+            if self.sock is not None and shows(self.sock, select.POLLIN):
                 self.close()
+            if self.sock is None:
                 self.sock = connect(self.address, 5 * SECOND)
             self.sock.settimeout((limit or self.limit) / SECOND)
             self.sock.sendall("\r\n".join([*lines, "", ""]).encode("latin-1") + body)
@@ -74,19 +78,6 @@
             self.close()
         return reply
 
-    def ended(self) -> bool:
-        """Whether the other side closed the kept connection meanwhile. Found by a day on which most front ends were
-        killed at once: the next call went to a connection that had ended with its front end, and was lost."""
-        assert self.sock is not None
-        self.sock.settimeout(0.0)
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            pass
-        return True                     # bytes that nobody asked for end it, too
-
     def close(self) -> None:
         if self.sock is not None:
             self.sock.close()
--- a/threadshift/trials/causes.py
+++ b/threadshift/trials/causes.py
@@ -11,8 +11,10 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from threadshift.audit.records import Seen, by, by_mark, chains
-from threadshift.interface import MS, SECOND, Deployment
+from threadshift.audit.records import Seen, by, by_mark
+from threadshift.audit.report import gains
+from threadshift.audit.rules import borne
+from threadshift.interface import SECOND, Deployment
 
 FACT = 8 * SECOND          # a send lost at a worker so long ago told its front end; longer than any suspension
 UNUSED = 0.5               # of what a cold worker bears: with less sent to it, it had room for the call
@@ -67,16 +69,13 @@
 
 def room(life: Life, at: int, it: Deployment) -> bool:
     """Whether a cold worker could surely have taken more at that time."""
-    warm = (at - life.began) / it.cold_time
-    bears = it.fall_multiple * (it.cold_share + (1 - it.cold_share) * warm) * life.cores * it.fall_time / MS
-    return life.pushed(at, it.fall_time) < UNUSED * bears
+    return life.pushed(at, it.fall_time) < UNUSED * borne(it, life.cores, at - life.began)
 
 
 class Facts:
     """Sends lost at a worker, and who lost one there before."""
 
-    def __init__(self, seen: list[Seen]):
-        marks = by_mark(seen)
+    def __init__(self, marks: dict[str, list[Seen]]):
         self.lost: dict[str, list[Seen]] = {}
         losses: list[Seen] = []
         for mark, events in marks.items():
@@ -101,8 +100,8 @@
 def losses(seen: list[Seen], it: Deployment) -> Losses:
     """What was lost to which cause."""
     found = Losses(sends=len(by(seen, "invoke")))
-    types = {each.name: each for each in it.types}
-    alive, facts, marks = lives(seen), Facts(seen), by_mark(seen)
+    alive, marks = lives(seen), by_mark(seen)
+    facts = Facts(marks)
     found.learnt, found.again = facts.count - len(facts.again), len(facts.again)
     loads: dict[str, list[tuple[int, str]]] = defaultdict(list)
     for each in by(seen, "load"):
@@ -111,18 +110,13 @@
             before = loads[each["function"]]
             found.needless += any(each.t - when <= it.idle_keep and who != each.source for when, who in before[-9:])
             before.append((each.t, each.source))
-    for tries, done in chains(seen):
-        if tries[0].facts.get("quits"):
-            continue
-        type_ = types[tries[0]["type"]]
-        got = 0.0 if done is None else type_.utility * (
-            1 if done - tries[0].t <= type_.target_latency else type_.late_utility)
-        found.asked += type_.utility
+    for tries, asked, got in gains(seen, it):
+        found.asked += asked
         share = found.served.setdefault(f"front-{tries[0]['front']}", [0.0, 0.0])
-        share[0] += type_.utility
+        share[0] += asked
         share[1] += got
-        if got < type_.utility:
-            found.by_cause[cause(tries, marks, facts, alive, loads, it)] += type_.utility - got
+        if got < asked:
+            found.by_cause[cause(tries, marks, facts, alive, loads, it)] += asked - got
     return found
 
 
@@ -141,18 +135,14 @@
         return "refused" if not cold else "refused, cold room unused" if any(
             room(life, tries[0].t, it) for life in cold) else "refused, no cold room"
     for each in sends:
-        began = [when for when, who in loads[fn_of(each)] if who == each.source and when >= each.t]
+        begun = loads[each["function"]]
+        began = [when for when, who in begun if who == each.source and when >= each.t]
         if began and (ends := [one.t for one in marks[each["mark"]] if one.event == "run"]) and min(began) <= ends[0]:
-            stood = any(each.t - it.idle_keep <= when <= each.t and who != each.source
-                        for when, who in loads[fn_of(each)])
+            stood = any(each.t - it.idle_keep <= when <= each.t and who != each.source for when, who in begun)
             return "copy brought again" if stood else "first copy"
     return "late"
 
 
-def fn_of(send: Seen) -> str:
-    return str(send["function"])
-
-
 def jain(values: list[float]) -> float:
     """Jain's index of fairness (Jain, Chiu, Hawe 1984): 1 where all are equal, 1/n where one has all."""
     squares = sum(each * each for each in values)
