A chunk is cut when it can be written: what is taken back while a socket is full stays

Cause, by reading, then a test: write_out() handed the next chunk to a send that waited for room; a frame withdrawn meanwhile (its worker drains, its client left, its time ended) was told as never sent and left all the same, and the outbox counted its bytes against other frames. Lines: links/sockets.py write_out. Ruled out: Outgoing.write, which never waits. Mend: try without waiting, wait for room, cut anew. Both platform and own protocol use it.

--- a/threadshift/links/sockets.py
+++ b/threadshift/links/sockets.py
@@ -66,10 +66,15 @@
 
 
 def write_out(sock: socket.socket, outbox: Outbox, limit: int) -> None:
-    """Writes what waits in the outbox. Raises OSError where the peer takes no byte for limit ns."""
+    """Writes what waits in the outbox. Raises OSError where the peer takes no byte for limit ns.
+
+    Each chunk is cut when it can be written, not before: what is taken back while we wait must not leave after all,
+    and what did leave would be counted against frames that it is not of."""
     while chunk := outbox.chunk():
-        sock.settimeout(limit / SECOND)
-        outbox.wrote(sock.send(chunk), time.monotonic_ns())
+        try:
+            outbox.wrote(sock.send(chunk, 0, 0.0), time.monotonic_ns())
+        except BlockingIOError:
+            socket.wait_write(sock.fileno(), limit / SECOND)
     outbox.wrote(0)
 
 
