--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -282,6 +282,17 @@
         ours.close()
         peer.close()
 
+    def test_a_repeat_that_waits_past_the_memory_of_the_first_send_does_not_leave(self):
+        it, fleet = desk(workers=2)             # the memory span of the tests' types is 2 s
+        held = it.take(0, "a", ask(Effect.DEDUPLICATED, left=4 * SECOND))
+        fleet.waiting |= {("w0", "a"), ("w1", "a")}
+        held.returned(1900 * MS, 0, Outcome.RESET)
+        self.assertEqual(len(fleet.sends()), 2)
+        while it.due() < 2100 * MS:
+            it.tick(it.due())
+        self.assertEqual([(entry[0], entry[1] <= 2 * SECOND) for entry in fleet.log][-1], ("withdrawn", True))
+        self.assertEqual(held.sends[1].outcome, Outcome.MOOT)
+
     def test_a_send_that_waited_for_its_connection_tells_the_time_that_is_left_then(self):
         with Platform() as it:
             client, only = it.client(), it.node.links["s-0"]
--- a/threadshift/adapter/host.py
+++ b/threadshift/adapter/host.py
@@ -103,8 +103,7 @@
         if step.do in (Do.REJECT, Do.ABORT):
             self.closed(act, [])
         if step.do is Do.SEND:
-            return line("DISPATCH", i=i, id=act.ivk, allowFor=to_ms(step.amount) if step.amount else None,
-                        worker=step.worker)
+            return line("DISPATCH", i=i, id=act.ivk, worker=step.worker)    # here it leaves at once
         if step.do is Do.CANCEL:
             return line("ABANDON", i=i, id=act.ivk, go=step.amount)
         if step.do is Do.REJECT:
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -395,7 +395,7 @@
 
     def may_send(self, act: Activation, worker: Worker, now: int) -> bool:
         """Rules 1 to 3 for one send; true only where nothing can happen twice that must not."""
-        kind, maybe = act.kind, act.risky + [send for send in act.sends if send.out]
+        kind, maybe = act.kind, self.maybe(act)
         if act.answered or act.begun or not worker.ready or act.due <= now or (
                 len(act.sends) >= self.max_sends) or (act.out and not self.may_twice):
             return False
@@ -403,16 +403,22 @@
             (kind.group == "all" or getattr(send.worker, kind.group) == getattr(worker, kind.group))
             and now + self.margin < send.at + kind.span for send in maybe)
 
+    def maybe(self, act: Activation) -> list[Send]:     # sends that may have run, or may run yet
+        return act.risky + [send for send in act.sends if send.out]
+
     def send(self, act: Activation, worker: Worker, now: int) -> bool:   # every send passes here
         if not self.may_send(act, worker, now):
             return False
+        # A repeat that waits for its connection must have left while the earlier ones are remembered.
+        spans = [one.at + act.kind.span - self.margin - now for one in self.maybe(act)]
+        wait = min(spans, default=0) if act.kind.effect is Effect.DEDUPLICATED else 0
         send = Send(act, len(act.sends), worker, now, self.stands(worker, act.fn, now))
         act.sends.append(send)
         worker.sends[send] = self.flying[send] = None
         act.out, self.cold_out = act.out + 1, self.cold_out + (not send.warm)
         self.load_at = self.load_at if send.warm else now
         worker.credit = max(0.0, worker.credit - self.weight(act))
-        self.out.append(Step(Do.SEND, act, worker.name))
+        self.out.append(Step(Do.SEND, act, worker.name, amount=wait))
         return True
 
     def go_on(self, act: Activation, now: int) -> None:
--- a/threadshift/desk/desk.py
+++ b/threadshift/desk/desk.py
@@ -116,6 +116,13 @@
         self.desk.replied(self, now, outcome, copies, report)
 
 
+class Leaving(NamedTuple):
+    """A send that has to leave by a time, or not at all."""
+
+    held: Held
+    number: int
+
+
 class Workers(Protocol):
     """What carries steps to workers. An outcome handed back at once means that nothing will follow."""
 
@@ -142,7 +149,7 @@
         self.now = 0
         self.held: dict[str, Held] = {}         # answer owed, or sends out
         self.owed = 0                           # of them, without their final answer
-        self.times: list[tuple[int, int, Held | Asked]] = []    # (due, serial, what ends then)
+        self.times: list[tuple[int, int, Held | Asked | Leaving]] = []      # (due, serial, what ends then)
         self.serial = count().__next__
         self.todo: deque[Step] = deque()
         self.busy = False
@@ -193,6 +200,8 @@
             _, _, what = heapq.heappop(self.times)
             if isinstance(what, Held):
                 self.time_up(what, now)
+            elif isinstance(what, Leaving):
+                self.take_back(*what, now)
             elif not what.over:
                 what.answered(now, Outcome.TIMEOUT)
 
@@ -256,6 +265,8 @@
             outcome = Outcome.MOOT if held.settled else self.workers.send(step.worker, held, number)
             if outcome is not None:
                 self.ended(held, now, number, outcome)
+            elif step.amount:
+                heapq.heappush(self.times, (now + step.amount, self.serial(), Leaving(held, number)))
         elif step.do is Do.CANCEL and held:
             self.call_off(held, now, step.amount, tell=True)
         elif step.do in (Do.REJECT, Do.ABORT) and held:
@@ -281,6 +292,12 @@
             outcome = self.workers.cancel(sent.worker, held, number, tell)
             self.ended(held, now, number, outcome if tell or outcome is Outcome.MOOT else Outcome.TIMEOUT)
 
+    def take_back(self, held: Held, number: int, now: int) -> None:
+        """Ends a send of which nothing has left."""
+        sent = held.sends[number]
+        if sent.outcome is None and self.workers.withdraw(sent.worker, held, number):
+            self.ended(held, now, number, Outcome.MOOT)
+
     def time_up(self, held: Held, now: int) -> None:
         for number, sent in enumerate(held.sends):
             if sent.outcome is None:
@@ -301,9 +318,8 @@
 
     def let_go(self, held: Held) -> None:
         # What still waits to leave does not, whether or not cancels are allowed: its client is answered, or gone.
-        for number, sent in enumerate(held.sends) if held.settled else ():
-            if sent.outcome is None and self.workers.withdraw(sent.worker, held, number):
-                self.ended(held, self.now, number, Outcome.MOOT)
+        for number in range(len(held.sends) if held.settled else 0):
+            self.take_back(held, number, self.now)
         if held.settled and held.act.over and held.ivk in self.held:
             del self.held[held.ivk]
             self.clients.over(held)
@@ -319,7 +335,9 @@
         return self.now
 
     @staticmethod
-    def past(what: Held | Asked) -> bool:
+    def past(what: Held | Asked | Leaving) -> bool:
+        if isinstance(what, Leaving):
+            return what.held.sends[what.number].outcome is not None
         return what.over if isinstance(what, Asked) else what.settled and what.act.over
 
 
--- a/threadshift/interface.py
+++ b/threadshift/interface.py
@@ -55,7 +55,7 @@
 class Do(Enum):
     """What a front end is asked to carry out."""
 
-    SEND = "send"          # act to worker, to be given up after `amount` ns (0: its own time left)
+    SEND = "send"          # act to worker; not once `amount` ns have passed before it leaves (0: its own time left)
     CANCEL = "cancel"      # give up waiting for send number `amount` of act
     REJECT = "reject"      # final answer; the client may come back after `amount` ns (0: no advice)
     ABORT = "abort"        # final answer
