Tests: drawn settings of customers start, answer and keep their promises; tenants and marks

Need: what is assumed of types, counts, zones, tenants, deadlines and optional fields. Change: hypothesis draws valid settings (nulls and absent fields included), plays calls on them, then ends the front end by its drain; bad ones must be one line with file and entry; a real door and worker see X-Team and X-Unique.

--- /dev/null
+++ b/tests/test_other_customers.py
@@ -0,0 +1,162 @@
+"""Settings that a customer could have: valid ones, drawn, start, answer and keep their promises; bad ones are one
+line."""
+import json
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.helpers import ready
+from tests.platform import SETTINGS, Platform, configuration
+from tests.test_desk import Fleet
+from threadshift.choice import Dispatcher
+from threadshift.conf.settings import Malformed
+from threadshift.desk.desk import Call, Desk, Final
+from threadshift.frames.codec import INVOKE
+from threadshift.interface import MS, SECOND, Copy, Effect, Outcome
+from threadshift.invoke.admission import Admission
+from threadshift.node.descriptors import Descriptors
+from threadshift.node.leaving import Leaving
+from threadshift.node.placement import understand
+
+EFFECTS = ("safe", "keyed", "unsafe")
+WORD = st.text("abcXYZ019._-", min_size=1, max_size=12)
+LANE = st.fixed_dictionaries(
+    {"name": WORD, "aim": st.floats(1, 60_000), "effect": st.sampled_from(EFFECTS), "worth": st.floats(0, 1000)},
+    optional={"lateValue": st.none() | st.floats(0, 1), "group": st.sampled_from(("all", "zone", "cell")),
+              "memorySpan": st.none() | st.floats(0, 10_000), "streaming": st.just(False)})
+OPTIONAL = {
+    "orgs": st.lists(st.fixed_dictionaries({"name": WORD}, optional={
+        "share": st.none() | st.floats(0, 1), "quotaPerS": st.none() | st.floats(0, 500)}), max_size=6),
+    "peersTotal": st.integers(1, 400), "tick": st.floats(0.5, 10), "zone": st.none() | WORD,
+    "limits": st.fixed_dictionaries({}, optional={
+        "maxAttempts": st.integers(1, 6), "cancel": st.booleans(), "mayDuplicate": st.booleans(),
+        "probes": st.booleans(), "retryAfter": st.booleans(), "maxRetryAfter": st.none() | st.floats(0, 3000),
+        "streamsPerConn": st.integers(1, 200), "connectTimeout": st.floats(10, 1000)}),
+    "familyInfo": st.fixed_dictionaries({}, optional={
+        "placementCalls": st.booleans(), "notLoaded": st.sampled_from(("load", "miss")),
+        "staysLoaded": st.none() | st.floats(0, 20_000), "loadWindow": st.none() | st.floats(0, 9000),
+        "loadFree": st.none() | st.floats(0, 9), "loadRatio": st.floats(0, 1), "loadWait": st.floats(0, 9000)}),
+    "rules": st.fixed_dictionaries({}, optional={
+        "drainGrace": st.none() | st.floats(0, 3000), "coldShare": st.floats(0, 1), "cold": st.floats(0, 20_000),
+        "fallMultiple": st.floats(0.5, 5), "overloadFor": st.none() | st.floats(0, 3000)}),
+    "fees": st.fixed_dictionaries({}, optional={"crossZone": st.none() | st.floats(0, 1)})}
+
+
+@st.composite
+def customers(draw):
+    lanes = draw(st.lists(LANE, min_size=1, max_size=7, unique_by=lambda each: each["name"]))
+    for each in lanes:
+        each["giveUp"] = each["aim"] * draw(st.floats(1, 8))
+    limits = {"cores": draw(st.floats(0.1, 1)), "memory_mb": draw(st.sampled_from((32, 88.0, 192))),
+              "sockets": draw(st.sampled_from((256, 576.0, 1024)))}
+    return configuration(limits=limits, settings=draw(st.fixed_dictionaries({"lanes": st.just(lanes)},
+                                                                            optional=OPTIONAL)))
+
+
+class Drawn(unittest.TestCase):
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(customers(), st.lists(st.tuples(
+        st.sampled_from(("take", "end", "leave", "wait")), st.integers(0, 99),
+        st.sampled_from([each for each in Outcome if each not in (Outcome.CANCELLED, Outcome.MOOT)])), max_size=40))
+    def test_valid_ones_start_answer_and_keep_their_promises(self, told, events):
+        # Through the file's own form: what JSON makes of it is what is read.
+        it = understand(json.loads(json.dumps(told)), {}, "drawn")
+        types = it.deployment.types
+        Admission(min(each.target_latency for each in types)).measured(SECOND, MS)
+        Descriptors(it.sockets).clients(40)
+        leaving = Leaving(max(each.action_timeout for each in types))
+        fleet, now, calls = Fleet(), SECOND, []
+        desk = fleet.desk = Desk(Dispatcher(1, it.deployment, now), fleet, fleet, it.load_order)
+        desk.roster(now, [ready(f"w{n}", since=now if n == 3 else 0) for n in range(4)], full=True)
+        for what, pick, outcome in events:
+            out = [(held, n) for held in calls for n, sent in enumerate(held.sends) if sent.outcome is None]
+            if what == "take":
+                type_ = types[pick % len(types)]
+                calls.append(desk.take(now, f"c{len(calls)}", Call(
+                    type_.name, f"f{pick % 4}", type_.action_timeout * (1 + pick % 3) // 3,
+                    tenant=it.deployment.tenants[pick % len(it.deployment.tenants)].name if it.deployment.tenants
+                    else "", work=pick * MS)))
+            elif what == "end" and out:
+                held, number = out[pick % len(out)]
+                held.returned(now, number, outcome, copy=Copy.FOUND)
+            elif what == "leave" and calls:
+                calls[pick % len(calls)].left(now)
+            else:
+                now = self.wait(desk, now, now + pick * 10 * MS)
+        leaving.begin(now)
+        desk.hasten(now, leaving.answered)
+        now = self.wait(desk, now, leaving.answered)
+        self.assertEqual((desk.owed, desk.counts["overdue"]), (0, 0))
+        for held in calls:
+            answers = fleet.answers.get(held.ivk, [])
+            self.assertEqual(len(answers), 0 if held.gone else 1)
+            self.assertLessEqual(held.answered_at, leaving.answered)
+            ran = [sent for sent in held.sends if sent.outcome not in (
+                Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT, Outcome.MISS)]
+            if held.act.kind.effect is Effect.ONCE_ONLY:
+                self.assertLessEqual(len(ran), 1)
+                self.assertFalse(ran and answers and answers[0].final is Final.REJECTED)
+            self.assertLessEqual(len(held.sends), it.deployment.max_sends)
+
+    def wait(self, desk, now, until):
+        while desk.due() <= until:
+            now = max(now, desk.due())
+            desk.tick(now)
+        return until
+
+    def test_what_is_bad_is_one_line_that_names_it(self):
+        def lane(**facts):
+            return {"lanes": [{"name": "a", "aim": 1, "giveUp": 2, "effect": "safe", "worth": 1} | facts]}
+        cases = (
+            (lane(aim=0), "lanes.0.aim"), (lane(giveUp=-5), "lanes.0.giveUp"), (lane(worth="much"), "lanes.0.worth"),
+            (lane(worth=float("nan")), "lanes.0.worth"), (lane(aim=float("inf")), "lanes.0.aim"),
+            (lane(name=None), "lanes.0.name"), (lane() | {"peersTotal": 0}, "peersTotal"),
+            (lane() | {"peersTotal": 2.5}, "peersTotal"), (lane() | {"limits": {"maxAttempts": "x"}}, "maxAttempts"),
+            (lane() | {"lanes": []}, "lanes"), (lane() | {"lanes": None}, "lanes"))
+        for told, words in cases:
+            with self.assertRaises(Malformed, msg=words) as caught:
+                understand(configuration(settings=json.loads(json.dumps(told))), {}, "/run/config.json")
+            self.assertIn(words, str(caught.exception))
+            self.assertIn("/run/config.json", str(caught.exception))
+            self.assertNotIn("\n", str(caught.exception))
+
+
+class Fields(unittest.TestCase):
+    """What requests of a site with tenants and deduplicated types bring, as the platform's real.json names it."""
+
+    def played(self):
+        told = json.loads(json.dumps(SETTINGS))
+        told["lanes"][0] |= {"effect": "keyed", "memorySpan": 2000.0}
+        told["orgs"] = [{"name": "one", "share": 1.0, "quotaPerS": 1000.0}]
+        return Platform(settings=told)
+
+    def test_a_mark_goes_on_to_the_worker_and_only_where_there_is_one(self):
+        with self.played() as it:
+            self.assertEqual(it.call(HTTP_X_UNIQUE="f4031e2e", HTTP_X_TEAM="one")[0], 200)
+            self.assertEqual(it.call(id_="00000000000000a2", type_="submit", HTTP_X_TEAM="one")[0], 200)
+            marked, plain = it.workers[0].codes(INVOKE)
+            self.assertEqual((marked.fields["once"], "once" in plain.fields), ("f4031e2e", False))
+
+    def test_a_mark_that_would_break_a_frame_is_refused(self):
+        with self.played() as it:
+            for mark in ("a,b", "a=b\n", "x" * 200):
+                self.assertEqual(it.call(HTTP_X_UNIQUE=mark)[0], 400)
+            self.assertEqual(it.workers[0].codes(INVOKE), [])
+
+    def test_a_tenants_calls_are_its_own_and_not_nobodys(self):
+        with self.played() as it:
+            taken, take = [], it.node.desk.dispatcher.take
+
+            def note(*words, **facts):
+                act = take(*words, **facts)
+                taken.append((facts["tenant"], act.spare))
+                return act
+            it.node.desk.dispatcher.take = note
+            it.call(HTTP_X_TEAM="one")
+            it.call(id_="00000000000000a2")
+            self.assertEqual(taken, [("one", False), ("", True)])
+
+
+if __name__ == "__main__":
+    unittest.main()
