--- a/threadshift/fastcgi/door.py
+++ b/threadshift/fastcgi/door.py
@@ -238,6 +238,13 @@
                 self.limit = min(self.limit, now + left)
 
 
+def unread_on(request: Request) -> bool:
+    """Whether something lies unread on the connection of a request that is open."""
+    connection = request.connection
+    return connection.open.get(request.number) is request and shows(
+        connection.sock, select.POLLIN | select.POLLRDHUP)
+
+
 class Door:
     """The listener and all connections; the desk's port to clients."""
 
@@ -249,6 +256,7 @@
         self.looks, self.tally = Looks(), Tally()
         self.connections: set[Connection] = set()
         self.greenlets = Group()
+        self.late: list[tuple[Request, requests.Asked, int, int]] = []     # put off, for how long unread, since when
         self.closing = False
         self.due = 0
         self.desk: Desk
@@ -307,26 +315,34 @@
         request.held, request.told, request.body = True, {}, b""
         # It may have lain unread since the event loop looked last: its client's time ran all the while.
         unread = max(unread, self.looks.unread(time.monotonic_ns()))
-        if unread >= STALL:
-            self.greenlets.spawn(self.take_later, request, asked, unread)
-        else:
+        if unread < STALL:
             self.let_in(request, asked, unread)
+        elif len(self.late) + len(self.desk.held) >= self.activations:
+            self.refuse(request, FULL)
+        else:
+            if not self.late:
+                self.greenlets.spawn(self.take_late)
+            self.late.append((request, asked, unread, time.monotonic_ns()))
 
-    def take_later(self, request: Request, asked: requests.Asked, unread: int) -> None:
+    def take_late(self) -> None:
         """After a standstill, what came meanwhile is read first: word that a worker drains, as rule 3 counts from
-        when it came, and that this client is gone. It waits here and not in its connection's reader, which could not
+        when it came, and that a client is gone. It waits here and not in the reader of the request, which could not
         read that word then."""
-        connection, since = request.connection, time.monotonic_ns()
+        while self.late:
+            gevent.sleep(SETTLE / SECOND)
+            now, late = time.monotonic_ns(), self.late
+            self.late = [each for each in late if now - each[3] < SETTLES * SETTLE and unread_on(each[0])]
+            for request, asked, unread, since in late:
+                # One that is not open any more was given up by its client.
+                if request.connection.open.get(request.number) is request and not any(
+                        request is each[0] for each in self.late):
+                    self.take_one(request, asked, unread + now - since)
+
+    def take_one(self, request: Request, asked: requests.Asked, unread: int) -> None:
         try:
-            for _ in range(SETTLES):
-                gevent.sleep(SETTLE / SECOND)
-                if connection.open.get(request.number) is not request:
-                    return              # its client gave it up meanwhile
-                if not shows(connection.sock, select.POLLIN | select.POLLRDHUP):
-                    break
-            self.let_in(request, asked, unread + time.monotonic_ns() - since)
+            self.let_in(request, asked, unread)
         except Unfit as problem:
-            connection.unfit(request, problem)
+            request.connection.unfit(request, problem)
         except Exception as fault:      # ours; it ends this request alone, and loudly
             self.note("fault", level="error", **fault_of(fault))
             self.refuse(request, FAULT)
