--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from threadshift.frames import berths
+from threadshift.frames import pool
 from threadshift.frames.codec import ERROR, FINE, FROM_WORKER, HEAD, OK, Frames, NotFrames, encode, understand
 from threadshift.interface import SECOND
 
@@ -55,44 +55,45 @@
             understand(b"\xff=1")
 
 
-def berth(waiting=0, proven=True, doubted=False, used=()):
+def connection(waiting=0, proven=True, doubted=False, used=()):
     return Of(waiting=dict.fromkeys(range(waiting)), proven=proven, doubted=doubted, used=dict.fromkeys(used))
 
 
-class Berths(unittest.TestCase):
+class Pool(unittest.TestCase):
     def test_the_least_busy_one_carries_the_next_and_a_proven_one_first(self):
-        new, proven, busy = berth(proven=False), berth(), berth(2)
-        self.assertIs(berths.fit([busy, new, proven], ID, 32), proven)
-        self.assertIs(berths.fit([busy, new], ID, 32), new)
-        self.assertIsNone(berths.fit([busy], ID, 2))
-        self.assertIsNone(berths.fit([berth(doubted=True)], ID, 32))
+        new, proven, busy = connection(proven=False), connection(), connection(2)
+        self.assertIs(pool.fit([busy, new, proven], ID, 32), proven)
+        self.assertIs(pool.fit([busy, new], ID, 32), new)
+        self.assertIsNone(pool.fit([busy], ID, 2))
+        self.assertIsNone(pool.fit([connection(doubted=True)], ID, 32))
 
     def test_an_id_goes_over_a_connection_once(self):
         # Found by reading: a second copy of a 'miss' would be taken for the answer of the send after it.
-        other = berth(3)
-        self.assertIs(berths.fit([berth(used=[ID]), other], ID, 32), other)
-        self.assertIsNone(berths.fit([berth(used=[ID])], ID, 32))
+        other = connection(3)
+        self.assertIs(pool.fit([connection(used=[ID]), other], ID, 32), other)
+        self.assertIsNone(pool.fit([connection(used=[ID])], ID, 32))
 
     def test_another_is_dialled_when_each_carries_its_share(self):
         # One call after another needs no second connection: found on the fleet's days, a third of all were such.
-        for kept, dialling, wanted in (([berth(1)], 0, False), ([berth(2)], 0, True), ([berth(2)], 1, False),
-                                       ([berth(2), berth(1)], 0, False), ([berth(2)] * 4, 0, False),
-                                       ([berth(doubted=True)], 0, True)):
-            self.assertEqual(berths.another(kept, dialling, 4, berths.shared(200)), wanted)
+        for kept, dialling, wanted in (([connection(1)], 0, False), ([connection(2)], 0, True),
+                                       ([connection(2)], 1, False), ([connection(2), connection(1)], 0, False),
+                                       ([connection(2)] * 4, 0, False),
+                                       ([connection(doubted=True)], 0, True)):
+            self.assertEqual(pool.another(kept, dialling, 4, pool.shared(200)), wanted)
         # With few front ends, as soon as none is free: a break takes one send along.
-        for kept, wanted in (([berth(1)], True), ([berth(1), berth()], False)):
-            self.assertEqual(berths.another(kept, False, 4, berths.shared(3)), wanted)
+        for kept, wanted in (([connection(1)], True), ([connection(1), connection()], False)):
+            self.assertEqual(pool.another(kept, False, 4, pool.shared(3)), wanted)
 
     def test_silence_since_a_send_left_is_doubt(self):
-        self.assertTrue(berths.doubt(heard=4, left=5))
-        self.assertFalse(berths.doubt(heard=6, left=5))
+        self.assertTrue(pool.doubt(heard=4, left=5))
+        self.assertFalse(pool.doubt(heard=6, left=5))
 
     def test_an_idle_one_is_left_alone_before_the_worker_closes_it(self):
-        self.assertFalse(berths.stale(28 * SECOND, 0, 30 * SECOND))
-        self.assertTrue(berths.stale(30 * SECOND, 0, 30 * SECOND))
+        self.assertFalse(pool.stale(28 * SECOND, 0, 30 * SECOND))
+        self.assertTrue(pool.stale(30 * SECOND, 0, 30 * SECOND))
 
     def test_the_share_leaves_room_for_clients(self):
         for sockets, workers in ((256, 12), (256, 200), (1024, 12), (64, 1)):
-            each = berths.share(sockets, workers)
+            each = pool.share(sockets, workers)
             self.assertGreaterEqual(each, 1)
             self.assertLessEqual(each * workers, max(workers, sockets // 4))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -293,8 +293,8 @@
         with Platform([silent]) as it:
             link = it.node.links["s-0"]
             link.dial()
-            until(lambda: len(link.berths) == 2 and len(it.workers[0].open) == 2)
-            first = link.berths[0].sock.getsockname()
+            until(lambda: len(link.connections) == 2 and len(it.workers[0].open) == 2)
+            first = link.connections[0].sock.getsockname()
             next(sock for sock in it.workers[0].open if sock.getpeername() == first).shutdown(2)
             call = Of(type="submit", function="00000000000000f1", body=b"x", mark="")
             held = Of(ivk=A, call=call, returned=lambda now, number, outcome, **_: None)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -71,8 +71,8 @@
     def late(address, limit):
         come.wait(5)
         return connect(address, limit)
-    for berth in list(only.berths):
-        only.end(berth)
+    for connection in list(only.connections):
+        only.end(connection)
     with mock.patch.object(link, "connect", late):
         yield come
 
--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -15,7 +15,7 @@
 
 from threadshift.conf.settings import report
 from threadshift.conf.values import Address
-from threadshift.frames import berths
+from threadshift.frames import pool
 from threadshift.frames.codec import (
     ASK, ERROR, FINE, FULL, GIVE_UP, HOLD, INVOKE, MISS, OK, OVER, UNWELL, Answer, Frames, NotFrames, encode)
 from threadshift.interface import MS, SECOND, Copy, Outcome
@@ -61,7 +61,7 @@
     return encode(INVOKE, id_, fields, call.body)
 
 
-class Berth(Outgoing):
+class Connection(Outgoing):
     """One connection to a worker."""
 
     def __init__(self, sock: socket.socket, told: Told):
@@ -82,9 +82,9 @@
         self.note = owner.note
         self.redial = Redial(chance)
         self.not_before = 0
-        self.berths: list[Berth] = []
+        self.connections: list[Connection] = []
         self.queue: dict[bytes, tuple[Any, int]] = {}       # (held, number) that waits for the first connection
-        self.ways: dict[tuple[str, int], tuple[Berth | None, bytes]] = {}   # where a send waits, for cancels
+        self.ways: dict[tuple[str, int], tuple[Connection | None, bytes]] = {}   # where a send waits, for cancels
         self.dialler: gevent.Greenlet | None = None
         self.stopped = False
         self.dial()
@@ -94,38 +94,39 @@
     def invoke(self, held: Any, number: int, left: int) -> Outcome | None:
         id_ = bytes.fromhex(held.ivk)
         outcome = self.place(id_, (held, number), request(id_, held.call, left))
-        if self.berths and berths.another(self.berths, self.dialler is not None, self.told.most, self.told.shared):
+        if self.connections and pool.another(self.connections, self.dialler is not None, self.told.most,
+                                             self.told.shared):
             self.dial()
         return outcome
 
     def place(self, id_: bytes, what: Any, frame: bytes) -> Outcome | None:
         """Puts a frame on the connection that fits and notes where it waits: the one way for all frames that are
         answered. Idle connections that were closed meanwhile are ended on the way."""
-        while (berth := berths.fit(self.berths, id_, self.told.streams)) is not None and (
-                not berth.waiting and self.closed(berth)):
-            self.end(berth)
-        if berth is None and isinstance(what, tuple):
+        while (connection := pool.fit(self.connections, id_, self.told.streams)) is not None and (
+                not connection.waiting and self.closed(connection)):
+            self.end(connection)
+        if connection is None and isinstance(what, tuple):
             return self.wait_for_dial(what, id_)
-        if berth is None or not berth.outbox.put(id_, frame):
-            if not self.berths:
+        if connection is None or not connection.outbox.put(id_, frame):
+            if not self.connections:
                 self.dial()
             return Outcome.UNREACHABLE      # a worker that does not read: what fits no more never left
-        berth.waiting[id_] = what
-        berth.used[id_] = None
-        if len(berth.used) > MOST_USED:
-            del berth.used[next(iter(berth.used))]
-        berth.write()
+        connection.waiting[id_] = what
+        connection.used[id_] = None
+        if len(connection.used) > MOST_USED:
+            del connection.used[next(iter(connection.used))]
+        connection.write()
         if isinstance(what, tuple):
-            self.ways[what[0].ivk, what[1]] = berth, id_
-        elif berth.outbox.withdraw(id_):
+            self.ways[what[0].ivk, what[1]] = connection, id_
+        elif connection.outbox.withdraw(id_):
             # An order or a question leaves at once or not at all: late ones would come to the worker in a bunch.
-            del berth.waiting[id_]
+            del connection.waiting[id_]
             return Outcome.UNREACHABLE
         return None
 
     def wait_for_dial(self, what: tuple[Any, int], id_: bytes) -> Outcome | None:
         if self.stopped or time.monotonic_ns() < self.not_before or id_ in self.queue or (
-                len(self.berths) >= self.told.most and not self.make_room()):
+                len(self.connections) >= self.told.most and not self.make_room()):
             return Outcome.UNREACHABLE
         if len(self.queue) >= self.told.streams:
             return Outcome.UNREACHABLE      # more than one connection takes: it never left
@@ -136,9 +137,9 @@
 
     def make_room(self) -> bool:
         """Ends a connection that carries nothing, where all that there may be stand and none can be used."""
-        for berth in self.berths:
-            if not berth.waiting:
-                self.end(berth)
+        for connection in self.connections:
+            if not connection.waiting:
+                self.end(connection)
                 return True
         return False
 
@@ -154,37 +155,38 @@
         """An id of our own, which meets no other that is open here."""
         while True:
             id_ = self.bits(64).to_bytes(8, "big")
-            if id_ not in self.queue and not any(id_ in each.waiting for each in self.berths):
+            if id_ not in self.queue and not any(id_ in each.waiting for each in self.connections):
                 return id_
 
-    def closed(self, berth: Berth) -> bool:
+    def closed(self, connection: Connection) -> bool:
         """Whether the peer has closed an idle connection, seen or not, or is about to: nothing is written on it."""
-        if berths.stale(time.monotonic_ns(), berth.heard, self.told.idle):
+        if pool.stale(time.monotonic_ns(), connection.heard, self.told.idle):
             return True
-        return shows(berth.sock, select.POLLRDHUP)
+        return shows(connection.sock, select.POLLRDHUP)
 
     def cancel(self, held: Any, number: int, tell: bool) -> Outcome:
         """Stops waiting for a send. MOOT where it never left. The worker is told in any case, or it works on."""
         if self.withdraw(held, number):
             return Outcome.MOOT
-        berth, id_ = self.ways.pop((held.ivk, number), (None, b""))
-        if berth is None or berth.waiting.pop(id_, None) is None:
+        connection, id_ = self.ways.pop((held.ivk, number), (None, b""))
+        if connection is None or connection.waiting.pop(id_, None) is None:
             return Outcome.CANCELLED
-        left = berth.outbox.left.pop(id_, 0)
-        if berth.outbox.put(None, encode(GIVE_UP, id_)):
-            berth.write()
-        berth.doubted = berth.doubted or berths.doubt(berth.heard, left)
-        if berth.doubted and not berth.waiting:
-            self.end(berth)
+        left = connection.outbox.left.pop(id_, 0)
+        if connection.outbox.put(None, encode(GIVE_UP, id_)):
+            connection.write()
+        connection.doubted = connection.doubted or pool.doubt(connection.heard, left)
+        if connection.doubted and not connection.waiting:
+            self.end(connection)
         return Outcome.CANCELLED
 
     def withdraw(self, held: Any, number: int) -> bool:
         """Takes back a send of which nothing has left, not even where it waits for a dial; False where it has."""
-        berth, id_ = self.ways.get((held.ivk, number), (None, b""))
-        if not id_ or (self.queue.pop(id_, None) is None if berth is None else not berth.outbox.withdraw(id_)):
+        connection, id_ = self.ways.get((held.ivk, number), (None, b""))
+        if not id_ or (self.queue.pop(id_, None) is None if connection is None
+                       else not connection.outbox.withdraw(id_)):
             return False
-        if berth is not None:
-            del berth.waiting[id_]
+        if connection is not None:
+            del connection.waiting[id_]
         del self.ways[held.ivk, number]
         return True
 
@@ -193,21 +195,21 @@
         this worker."""
         now = time.monotonic_ns()
         queued, self.queue = [*self.queue.values()], {}
-        for berth in self.berths:
-            for id_, what in list(berth.waiting.items()):
-                if berth.outbox.withdraw(id_):
-                    del berth.waiting[id_]
+        for connection in self.connections:
+            for id_, what in list(connection.waiting.items()):
+                if connection.outbox.withdraw(id_):
+                    del connection.waiting[id_]
                     queued.append(what)
         for what in queued:
             self.finish(what, now, Outcome.UNREACHABLE)
 
     @property
     def busy(self) -> bool:
-        return bool(self.queue) or any(each.waiting for each in self.berths)
+        return bool(self.queue) or any(each.waiting for each in self.connections)
 
     @property
     def up(self) -> bool:
-        return bool(self.berths)
+        return bool(self.connections)
 
     def finish(self, what: Any, now: int, outcome: Outcome) -> None:
         if isinstance(what, tuple):
@@ -244,17 +246,17 @@
                 queued, self.queue = self.queue, {}
                 for what in queued.values():
                     self.finish(what, now, Outcome.UNREACHABLE)
-                if self.berths and not self.queue:
+                if self.connections and not self.queue:
                     self.dialler = None
                     return
         else:
             return
         sock.settimeout(None)               # silence of a worker is judged by the decisions alone
-        berth = Berth(sock, self.told)
-        self.redial.up(berth.heard)
-        self.berths.append(berth)
+        connection = Connection(sock, self.told)
+        self.redial.up(connection.heard)
+        self.connections.append(connection)
         self.dialler = None
-        berth.reader = gevent.spawn(self.read, berth)
+        connection.reader = gevent.spawn(self.read, connection)
         queued, self.queue = self.queue, {}
         for id_, what in queued.items():
             # The time that is left is told as it is now, or the worker would work on for nobody.
@@ -262,33 +264,33 @@
             if (outcome := self.place(id_, what, frame)) is not None:
                 self.finish(what, time.monotonic_ns(), outcome)
 
-    def read(self, berth: Berth) -> None:
+    def read(self, connection: Connection) -> None:
         frames, problem, answers = Frames(self.told.body), "", []
-        sock = berth.sock
+        sock = connection.sock
         try:
             while not problem:
                 try:
                     data = sock.recv(READ)
                     if not data:
                         break
-                    berth.heard = time.monotonic_ns()
+                    connection.heard = time.monotonic_ns()
                     answers = frames.feed(data)
                 except NotFrames as refused:
                     problem, answers = str(refused), getattr(refused, "before", [])
                 if answers:
                     self.owner.settle()
                 for answer in answers:
-                    self.hear(berth, answer)
+                    self.hear(connection, answer)
         except (OSError, NotFrames) as failed:
             problem = str(failed) or type(failed).__name__
         except Exception as fault:          # ours; loud, and what waits here is not left waiting
             self.note("fault", level="error", **fault_of(fault))
             problem = "a fault of ours"
-        self.broke(berth, problem or ("closed inside a frame" if frames.torn else ""))
+        self.broke(connection, problem or ("closed inside a frame" if frames.torn else ""))
 
-    def hear(self, berth: Berth, it: Answer) -> None:
+    def hear(self, connection: Connection, it: Answer) -> None:
         """One answer as the call on the handle that it belongs to; one that nobody waits for is dropped."""
-        what = berth.waiting.get(it.id)
+        what = connection.waiting.get(it.id)
         if what is None:
             return
         now = time.monotonic_ns()
@@ -301,9 +303,9 @@
             copies = it.fields.get("n", "0")
             if not (copies.isascii() and copies.isdigit() and len(copies) < 6):
                 raise NotFrames(f"n={copies[:20]} is no number of copies")
-        del berth.waiting[it.id]
-        berth.proven = True
-        left = berth.outbox.left.pop(it.id, now)
+        del connection.waiting[it.id]
+        connection.proven = True
+        left = connection.outbox.left.pop(it.id, now)
         if isinstance(what, tuple):
             held, number = what
             self.ways.pop((held.ivk, number), None)
@@ -314,20 +316,20 @@
             what.answered(now, ORDERS[it.code], copies=int(copies))
         else:
             what.answered(now, Outcome.COMPLETED, report=load)
-        if berth.doubted and not berth.waiting:
-            berth.doubted = False       # it lives: what was given up was slow
+        if connection.doubted and not connection.waiting:
+            connection.doubted = False       # it lives: what was given up was slow
 
-    def broke(self, berth: Berth, problem: str) -> None:
+    def broke(self, connection: Connection, problem: str) -> None:
         """Ends what waits on one connection: what never left goes over another, the rest may have run."""
-        if berth not in self.berths:
+        if connection not in self.connections:
             return
-        ended = list(berth.waiting.items())
-        frames = {key: entry[1] for key, entry in berth.outbox.unwritten.items()}
-        self.end(berth)
+        ended = list(connection.waiting.items())
+        frames = {key: entry[1] for key, entry in connection.outbox.unwritten.items()}
+        self.end(connection)
         now = time.monotonic_ns()
         if problem or ended:
             self.note("link-broke", worker=self.worker, problem=problem or "closed", sends=len(ended))
-        if not self.berths and not self.stopped:
+        if not self.connections and not self.stopped:
             self.not_before = self.redial.broke(now) if problem or ended else now
             self.dial()
         for id_, what in ended:
@@ -336,17 +338,17 @@
             elif (outcome := self.place(id_, what, frames[id_])) is not None:
                 self.finish(what, now, outcome)
 
-    def end(self, berth: Berth) -> None:
+    def end(self, connection: Connection) -> None:
         """Closes one connection, on which nothing counts any more."""
-        if berth in self.berths:
-            self.berths.remove(berth)
-        if berth.writer is not None:
-            berth.writer.kill(block=False)
-        if berth.reader is not None and berth.reader is not gevent.getcurrent():
-            berth.reader.kill(block=False)
-        berth.sock.close()
-        berth.waiting, berth.used = {}, {}
-        berth.outbox.clear()
+        if connection in self.connections:
+            self.connections.remove(connection)
+        if connection.writer is not None:
+            connection.writer.kill(block=False)
+        if connection.reader is not None and connection.reader is not gevent.getcurrent():
+            connection.reader.kill(block=False)
+        connection.sock.close()
+        connection.waiting, connection.used = {}, {}
+        connection.outbox.clear()
 
     def stop(self) -> None:
         """Ends the link and its greenlets; what waits for answers ends like after a break."""
@@ -355,5 +357,5 @@
             self.dialler.kill(block=False)
             self.dialler = None
         self.take_back()
-        for berth in list(self.berths):
-            self.broke(berth, "stopped")
+        for connection in list(self.connections):
+            self.broke(connection, "stopped")
--- a/threadshift/frames/berths.py
+++ b/threadshift/frames/pool.py
@@ -21,7 +21,7 @@
 PART = 4                   # of the descriptors, one in so many is for workers
 
 
-class Berth(Protocol):
+class Pooled(Protocol):
     """What is looked at of one connection."""
 
     waiting: dict[bytes, Any]            # what waits for an answer on it, by id
@@ -31,15 +31,15 @@
     heard: int                           # when something came on it last
 
 
-B = TypeVar("B", bound=Berth)
+B = TypeVar("B", bound=Pooled)
 
 
-def fit(berths: Iterable[B], id_: bytes, streams: int) -> B | None:
+def fit(connections: Iterable[B], id_: bytes, streams: int) -> B | None:
     """The one for a send under this id. An id goes over a connection once: an answer that crosses the end of an
     earlier send, or a second copy of its answer, would be taken for that of the later one."""
     best: B | None = None
     best_rank = (streams, False)
-    for each in berths:
+    for each in connections:
         rank = (len(each.waiting), not each.proven)
         if rank < best_rank and not each.doubted and id_ not in each.waiting and id_ not in each.used:
             best, best_rank = each, rank
@@ -52,10 +52,10 @@
     return 1 if front_ends <= FEW else 2
 
 
-def another(berths: Iterable[Berth], dialling: bool, most: int, shared: int) -> bool:
+def another(connections: Iterable[Pooled], dialling: bool, most: int, shared: int) -> bool:
     """Whether one more is dialled: each carries its share or is in doubt, and there is room for one."""
-    berths = list(berths)
-    return not dialling and len(berths) < most and all(len(each.waiting) >= shared or each.doubted for each in berths)
+    there = list(connections)
+    return not dialling and len(there) < most and all(len(each.waiting) >= shared or each.doubted for each in there)
 
 
 def doubt(heard: int, left: int) -> bool:
@@ -68,9 +68,9 @@
     return now - heard > idle - min(IDLE_MARGIN, idle // 10)
 
 
-def who_goes(berths: Iterable[B]) -> B | None:
+def who_goes(connections: Iterable[B]) -> B | None:
     """The one that makes room where descriptors are short: unused, and heard of longest ago."""
-    return min((each for each in berths if not each.waiting), key=lambda each: each.heard, default=None)
+    return min((each for each in connections if not each.waiting), key=lambda each: each.heard, default=None)
 
 
 def share(sockets: int, workers: int) -> int:
--- a/threadshift/node/front.py
+++ b/threadshift/node/front.py
@@ -20,7 +20,7 @@
 from threadshift.desk import earlier
 from threadshift.desk.desk import Desk
 from threadshift.fastcgi.door import Door
-from threadshift.frames import berths
+from threadshift.frames import pool
 from threadshift.frames.link import Link
 from threadshift.gateway.fleet import Fleet
 from threadshift.interface import MS, SECOND, State
@@ -72,7 +72,7 @@
     @property
     def dialled(self) -> int:
         """Connections to workers, those under way included."""
-        return sum(len(link.berths) + (link.dialler is not None) for link in self.links.values())
+        return sum(len(link.connections) + (link.dialler is not None) for link in self.links.values())
 
     def room(self, wanted: bool) -> bool:
         """Makes room for a connection to a worker; the dial that asks is counted as one already."""
@@ -82,8 +82,8 @@
             return False
         if self.descriptors.yields(len(self.door.connections)) and self.door.make_room():
             return True
-        idle = {berth: link for link in self.links.values() for berth in link.berths}
-        if (goes := berths.who_goes(idle)) is None:
+        idle = {connection: link for link in self.links.values() for connection in link.connections}
+        if (goes := pool.who_goes(idle)) is None:
             return False
         idle[goes].end(goes)
         return True
@@ -168,7 +168,7 @@
         return {"owed": self.desk.owed, "held": len(self.desk.held), "connections": len(self.door.connections),
                 "flying": len(dispatcher.flying), "links": len(self.links),
                 "up": sum(link.up for link in self.links.values()),
-                "berths": sum(len(link.berths) for link in self.links.values()),
+                "worker_connections": sum(len(link.connections) for link in self.links.values()),
                 "ready": len(dispatcher.fleet), "suspended": sum(it.until > now for it in workers),
                 "functions": len(dispatcher.functions), "roster_lost": self.roster_lost,
                 "lag_ms": round(self.admission.lag / MS, 1), "part": round(self.admission.part, 3),
--- a/threadshift/node/placement.py
+++ b/threadshift/node/placement.py
@@ -11,7 +11,7 @@
 from threadshift.conf.settings import Fields, Malformed, deployment, flat
 from threadshift.conf.values import Address
 from threadshift.fastcgi.requests import LONGEST_BODY
-from threadshift.frames import berths
+from threadshift.frames import pool
 from threadshift.frames.link import Told
 from threadshift.interface import MS, SECOND, Deployment
 
@@ -44,8 +44,8 @@
 
     def links(self, workers: int) -> Told:
         """Bounds of the connections to one of so many workers."""
-        return Told(self.connect, WRITE, self.idle, self.streams, berths.share(self.sockets, workers),
-                    berths.shared(self.deployment.front_ends),
+        return Told(self.connect, WRITE, self.idle, self.streams, pool.share(self.sockets, workers),
+                    pool.shared(self.deployment.front_ends),
                     self.memory // BUFFER_PART + 2 * LONGEST_BODY, self.memory // BODY_PART)
 
 
