Ports of tests are not of the range that the system gives out itself

Cause: free_ports() let go of ports of the ephemeral range, and the relay, which binds ports of the system's choice, got one of them before its owner listened (standins/rig.py). Ruled out: two names with one port, as all are held at once. Now ports lie under that range.

--- a/tests/live.py
+++ b/tests/live.py
@@ -13,6 +13,7 @@
 from threadshift.links.sockets import listener
 from threadshift.standins.common import Record
 from threadshift.standins.feed import RosterFeed
+from threadshift.standins.rig import free_ports
 from threadshift.standins.store import PackStore
 from threadshift.standins.worker import Machine, Worker
 
@@ -51,9 +52,7 @@
 
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    return free_ports(1)[0]
 
 
 class Silent:
--- a/threadshift/standins/rig.py
+++ b/threadshift/standins/rig.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import os
+import random
 import signal
 import sys
 import time
@@ -17,20 +18,38 @@
 
 START_LIMIT = 20           # s until a started process must say where it listens; many start at once
 END_LIMIT = 15             # s until one that was told to end is killed
+LOWEST_GIVEN = 32_768      # port; the usual setting of the system, where it cannot be read
 
 
 def free_ports(count: int) -> list[int]:
-    """Ports that nobody listened at a moment ago; all held open at once, so that they differ."""
-    socks = [socket.socket() for _ in range(count)]
+    """Ports that nobody listened at a moment ago; all held open at once, so that they differ.
+
+    None of the range that the system gives out itself: before we listened at one, it was given to a relay of the same
+    test, and an order to one front end came to another's peers."""
+    low = given_out_from()
+    socks: list[socket.socket] = []
     try:
-        for sock in socks:
-            sock.bind(("127.0.0.1", 0))
+        while len(socks) < count:
+            sock = socket.socket()
+            try:
+                sock.bind(("127.0.0.1", random.randrange(low // 2, low)))
+                socks.append(sock)
+            except OSError:
+                sock.close()        # somebody has it
         return [sock.getsockname()[1] for sock in socks]
     finally:
         for sock in socks:
             sock.close()
 
 
+def given_out_from() -> int:
+    """The lowest port that the system gives to those who name none."""
+    try:
+        return int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    except OSError:
+        return LOWEST_GIVEN
+
+
 class Process:
     """One process of ours."""
 
