A cancel told by one front end is not unknown at the next: it catches up before it says so

The record commits at a majority and tells the others after; a holder cut off and stopped in between leaves a follower without the entry until another holds. Ruled out: the cancel was not lost (f4 had it applied), and the id was right.

At fault: Batching.restore looked at this front end's own state alone; Rolling.move, an operator's pause, resume and abort, was its twin. Both now catch up by an entry of their own, one for all who ask meanwhile, before they say that nothing is known, and say 'record not heard' where no majority answers.

Test: a cut-off front end is asked for both; 404 on the text before, 503 and 409 NotHeard now.

--- a/tests/test_several.py
+++ b/tests/test_several.py
@@ -115,6 +115,11 @@
             ids[inside] = it.submit(inside, "eve", 30, work_ms=150)
             told = self.orders(it, inside, "/v1/batches/eve/cancel")
             self.assertEqual(sorted(told["not-heard"]), sorted([holder, follower]))
+            # What a majority knows and has not come here is not said to be unknown: no 404.
+            for path, admin, told_as in ((f"/v1/cancels/{told['cancel']}/restore", False, (503, "record not heard")),
+                                         ("/v1/rollouts/abort", True, (409, "NotHeard"))):
+                status, problem = it.ask(follower, "POST", path, admin=admin)
+                self.assertEqual((status, problem["title"]), told_as, problem)
             it.until(lambda: all(it.finals(follower, ids[follower])), 30)       # who did not hear of it goes on
             it.heal()
             # Closed by then: what was parked is over as cancelled, what went on is done and stays so.
--- a/threadshift/gateway/batching.py
+++ b/threadshift/gateway/batching.py
@@ -360,7 +360,7 @@
 
     def restore(self, tenant: str, id_: str) -> dict[str, Any]:
         """Raises NoSuchCancel, CancelOver, NotHeard."""
-        it = self.cancels.find(id_, tenant)
+        it = self.known(tenant, id_)
         if it.state == OPEN:
             self.carrier.propose({"do": "batch.restore", "id": f"restore-{id_}", "cancel": id_}, ENTER)
         if it.state == CLOSED:
@@ -368,6 +368,15 @@
         counts, _, silent = self.everywhere(tenant, it.batch)
         return {**self.tell(it), **told_counts(counts), "not-heard": silent}
 
+    def known(self, tenant: str, id_: str) -> Cancel:
+        """A cancel, also one that another front end has told of and that has not come here yet. Raises NoSuchCancel,
+        NotHeard."""
+        try:
+            return self.cancels.find(id_, tenant)
+        except NoSuchCancel:
+            self.carrier.catch_up(ENTER)
+            return self.cancels.find(id_, tenant)
+
     def tell(self, it: Cancel) -> dict[str, Any]:
         left = it.window - (time.time_ns() - it.at)
         return {"cancel": it.id, "batch": it.batch, "state": it.state, "accident": it.accident,
--- a/threadshift/gateway/rolling.py
+++ b/threadshift/gateway/rolling.py
@@ -233,7 +233,9 @@
 
     def move(self, word: str, id_: str, why: str) -> dict[str, Any]:
         """pause, resume or abort. Raises NoRollout, NotHeard."""
-        it = self.rollouts.under_way
+        if (it := self.rollouts.under_way) is None or id_ and it.id != id_:
+            self.carrier.catch_up(ENTER)        # it may have been told elsewhere, and not have come here yet
+            it = self.rollouts.under_way
         if it is None or id_ and it.id != id_:
             raise NoRollout(f"no rollout {id_} goes on".replace("  ", " "))
         do = {"pause": "rollout.pause", "resume": "rollout.resume", "abort": "rollout.back"}[word]
--- a/threadshift/gateway/together.py
+++ b/threadshift/gateway/together.py
@@ -71,8 +71,7 @@
     def tell_forms(self) -> None:
         """Which entries this program reads: a later form is written only once every voter reads it."""
         with suppress(NotHeard):
-            self.carrier.propose({"do": "reads", "id": self.carrier.new_id("reads"), "who": self.front.name,
-                                  "forms": self.carrier.book.forms}, ENTER)
+            self.carrier.tell_forms(ENTER)
 
     def told(self, told: Told, changed: bool) -> None:
         """An entry was applied, or all of them at once."""
--- a/threadshift/peers/carrier.py
+++ b/threadshift/peers/carrier.py
@@ -12,6 +12,7 @@
 
 import gevent
 from gevent.event import Event
+from gevent.lock import BoundedSemaphore
 from gevent.queue import Empty, Full, Queue
 
 from threadshift.conf.peering import Peering
@@ -80,6 +81,7 @@
         self.inbox: Queue = Queue(WAITING)
         self.dropped = 0
         self.news = Event()                             # set and renewed with every entry told
+        self.catching, self.caught = BoundedSemaphore(1), 0     # caught: when the last one that ended had begun
         self.proposed: dict[str, int] = {}
         self.holding, self.doubt, self.holder = False, "", ""
         self.life, self.serial = life, 0
@@ -240,6 +242,24 @@
             self.news.wait((min(until, again) - at) / SECOND)
         return self.book.results.get(id_)
 
+    def tell_forms(self, limit: int) -> None:
+        """Enters which entries this program reads. Raises NotHeard."""
+        self.propose({"do": "reads", "id": self.new_id("reads"), "who": self.name, "forms": self.book.forms}, limit)
+
+    def catch_up(self, limit: int) -> None:
+        """Returns once all that the record told anybody before this was asked is applied here: an entry of ours that
+        is told back comes after it. All who ask while another catches up wait for one entry. Raises NotHeard."""
+        asked = time.monotonic_ns()
+        if not self.catching.acquire(timeout=limit / SECOND):
+            raise NotHeard(f"the record did not answer others within {limit // MS} ms")
+        try:
+            if self.caught < asked:
+                begun = time.monotonic_ns()
+                self.tell_forms(max(0, asked + limit - begun))
+                self.caught = begun
+        finally:
+            self.catching.release()
+
     def enter(self, at: int, body: dict[str, Any]) -> None:
         if body["id"] not in self.book.ids:
             self.member.propose(at, body)
