Variants: a site without its files beside it is refused in one line, with nothing half made

Seen: make.py on a site whose folder lacks wire.json ended in a traceback and left an empty folder. At fault: copyfile outside the try. Ruled out: the changes (they had been applied). Test: such a site, exit 1, one line, no folder.

--- a/deploy/sites/make.py
+++ b/deploy/sites/make.py
@@ -13,7 +13,6 @@
 
 import copy
 import json
-import shutil
 import sys
 import tomllib
 from pathlib import Path
@@ -98,14 +97,17 @@
         print(f"make: {changes}: {problem}", file=sys.stderr)
         return 1
     folder = MADE / changes.stem
-    folder.mkdir(parents=True, exist_ok=True)
-    for name in ("wire.json", "unlock.txt", "real.json"):
-        beside = source.parent / name
-        if name == "real.json" and len(arguments) == 3:
-            beside = Path(arguments[2])
-        shutil.copyfile(beside, folder / name)
     made = folder / f"{changes.stem}.toml"
-    made.write_text(written(site))
+    try:
+        beside = {name: (source.parent / name).read_bytes() for name in ("wire.json", "unlock.txt")}
+        beside["real.json"] = (Path(arguments[2]) if len(arguments) == 3 else source.parent / "real.json").read_bytes()
+        folder.mkdir(parents=True, exist_ok=True)
+        for name, content in beside.items():
+            (folder / name).write_bytes(content)
+        made.write_text(written(site))
+    except OSError as problem:
+        print(f"make: {problem}", file=sys.stderr)
+        return 1
     print(made)
     return 0
 
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -57,6 +57,11 @@
             self.assertEqual((out.returncode, out.stdout), (1, ""))
             self.assertIn("line 1: nothing: the site has no such entry", out.stderr)
             self.assertNotIn("Traceback", out.stderr)
+            changes.write_text('name = "two"')      # the files that have to lie beside a site do not
+            out = subprocess.run([sys.executable, FOLDER / "make.py", changes, site], capture_output=True, text=True)
+            self.assertEqual((out.returncode, out.stdout, (FOLDER / "made/x").exists()), (1, "", False))
+            self.assertIn("wire.json", out.stderr)
+            self.assertNotIn("Traceback", out.stderr)
 
     def test_the_variants_are_lists_of_such_changes(self):
         for path in FOLDER.glob("*.changes"):
