--- a/deploy/sites/make.py
+++ b/deploy/sites/make.py
@@ -100,7 +100,8 @@
     made = folder / f"{changes.stem}.toml"
     try:
         beside = {name: (source.parent / name).read_bytes() for name in ("wire.json", "unlock.txt")}
-        beside["real.json"] = (Path(arguments[2]) if len(arguments) == 3 else source.parent / "real.json").read_bytes()
+        names = Path(arguments[2]) if len(arguments) == 3 else source.parent / "real.json"
+        beside["real.json"] = names.read_bytes()
         folder.mkdir(parents=True, exist_ok=True)
         for name, content in beside.items():
             (folder / name).write_bytes(content)
