A dial that comes up after a standstill waits for what lies unread before its sends leave

Answers already waited there (Fleet.settle); a dial did not. One line in frames/link.py: settle() before the queue is taken, during which close and word take their sends back.

--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -65,13 +65,14 @@
 
 
 @contextmanager
-def late_dials(only):
-    """A link without a connection, whose next ones come up once the event is set."""
+def late_dials(only, beforehand=False):
+    """A link without a connection, whose next ones come up once the event is set: dialled then, or beforehand."""
     come, connect = Event(), link.connect
 
     def late(address, limit):
+        sock = connect(address, limit) if beforehand else None
         come.wait(5)
-        return connect(address, limit)
+        return sock or connect(address, limit)
     for connection in list(only.connections):
         only.end(connection)
     with mock.patch.object(link, "connect", late):
@@ -201,6 +202,20 @@
         self.assertEqual(it.call(id_=B)[0], 200)
         self.assertEqual([frame.id.hex() for frame in it.workers[0].codes(INVOKE)], [B])
 
+    def test_a_close_that_lies_unread_as_its_connection_comes_up_stops_it(self):
+        with Platform() as it:
+            client, only = native(it.address), it.node.links["s-0"]
+            with late_dials(only, beforehand=True) as come:
+                client.sendall(request(id_=A))
+                until(lambda: only.queue)
+                client.close()
+                come.set()
+                it.node.settled = 0         # no standstill was seen within the last second
+                stand_still()
+                until(lambda: it.node.desk.counts["left"])
+            self.assertEqual(it.call(id_=B)[0], 200)
+            self.assertEqual([frame.id.hex() for frame in it.workers[0].codes(INVOKE)], [B])
+
     def test_a_close_that_lies_unread_stops_the_next_send(self):
         it, fleet = desk(workers=2, at_once=[Outcome.FULL])
         fleet.at_once.clear()
--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -45,7 +45,8 @@
 
 
 class Owner(Protocol):
-    """Whose link it is. settle() is called before answers are heard: it may wait a moment. room() makes room for one
+    """Whose link it is. settle() is called before what answers bring, or a dial that came up, is
+    acted upon: it may wait a moment. room() makes room for one
     more connection, by ending others only where it is wanted for something that waits; False where there is none."""
 
     def settle(self) -> None: ...
@@ -251,6 +252,8 @@
                     return
         else:
             return
+        if self.queue:
+            self.owner.settle()             # word that a client is gone, or that the worker drains, may lie unread
         sock.settimeout(None)               # silence of a worker is judged by the decisions alone
         connection = Connection(sock, self.told)
         self.redial.up(connection.heard)
