A second standstill within a second is waited after where a grace may have passed

Read, not seen: Fleet.settle gives the roster's word 10 ms after a standstill once a second at the most, as a loop at its limit looks like one that stood still. Now also after each standstill of half a grace, whenever the last was.

Test: standstills of 0.15 s and 0.55 s, 0.3 s after the last; the second was not waited after on the text before.

--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -399,6 +399,15 @@
             self.assertAlmostEqual(second - first, 1200 * MS, delta=100 * MS)
             self.assertEqual(start(4, now - 300), second)
 
+    def test_a_second_standstill_within_a_second_is_waited_after_where_a_grace_may_have_passed(self):
+        with Platform() as it:
+            for seconds, waited in ((0.15, False), (0.55, True)):       # the grace of the tests' settings is 1 s
+                it.node.settled = before = time.monotonic_ns() - 300 * MS
+                stand_still(seconds)
+                it.node.settle()
+                self.assertEqual(it.node.settled > before, waited)
+                gevent.sleep(0.02)              # the loop comes round
+
     def test_a_list_that_stays_empty_does_not_keep_it_from_being_ready(self):
         with mock.patch("threadshift.node.front.LIST_WAIT", 100 * MS), Platform([]) as it:
             def alive():
--- a/threadshift/gateway/fleet.py
+++ b/threadshift/gateway/fleet.py
@@ -85,9 +85,11 @@
         """After a standstill the roster's word is read before what answers bring: it may have lain beside them.
 
         Found by a hunt: an answer read first brought a load order to a worker long told of as draining. Once a second
-        at the most, as a loop at its limit looks like one that stood still."""
+        at the most, as a loop at its limit looks like one that stood still; but after each standstill by which the
+        grace may have passed, beside which the wait is nothing."""
         now = time.monotonic_ns()
-        if now - self.settled >= SECOND and self.looks.unread(now) >= STALL:
+        unread = self.looks.unread(now)
+        if unread >= STALL and (now - self.settled >= SECOND or unread >= self.membership.grace // 2):
             self.settled = now
         if now - self.settled < SETTLE:
             gevent.sleep(SETTLE / SECOND)
