--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -195,6 +195,22 @@
         it.roster(0, [ready(f"later{n}") for n in range(5)], full=True)
         self.assertEqual({serve(it, f"fn{n}", ivk=f"c{n}")[:5] for n in range(30)}, {"later"})
 
+    def test_calls_withdrawn_by_their_clients_earn_no_load_orders(self):
+        # Seen on a day of bad clients: 23 orders where 316 calls counted, as hundreds withdrawn at once did so too.
+        for withdrawn, answered, allowed in ((0, 0, 22), (300, 0, 7), (300, 300, 22), (400, 0, 2)):
+            it = front_end(40, load_window=5 * SECOND, load_free=2, load_ratio=0.05)
+            it.load_limit = 1000.0
+            acts = [it.take(SECOND + n, str(n), AGAIN.value, "f", 3 * SECOND) for n in range(400)]
+            for act in acts[:answered]:
+                it.close(act, Do.REJECT)        # those that have their answer were calls like any other
+            for act in acts[:withdrawn]:
+                act.left(2 * SECOND)
+            given = 0
+            for worker in it.fleet:
+                it.functions["f"].pause = 0
+                given += it.hold(worker, it.functions["f"], 2 * SECOND)
+            self.assertEqual(given, allowed, (withdrawn, answered))
+
     def test_load_orders_at_the_edge_of_the_ration(self):
         # free orders, ratio, activations taken in the window, orders allowed
         for free, ratio, taken, allowed in ((6, 0.2, 0, 6), (6, 0.2, 5, 7), (0, 0.2, 4, 0), (0, 0.2, 5, 1)):
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -202,7 +202,7 @@
             kind.units = kind.work / SECOND
         self.units += TREND * (kind.units - self.units) if self.units else kind.units
         self.spread(fn, kind, now)
-        act = Activation(self, ivk, kind, fn, now + max(0, left - self.margin), work,
+        act = Activation(self, ivk, kind, fn, now, now + max(0, left - self.margin), work,
                          again or self.beyond_share(tenant, now), fn.turn)
         heapq.heappush(self.heap, (act.due, self.number(), act))
         return act
@@ -451,6 +451,12 @@
             act.kind.group == "all")
         self.close(act, Do.REJECT if safe or not (act.risky or act.out) else Do.ABORT)
 
+    def quit(self, act: Activation) -> None:
+        """Its client is gone. It earns no load orders: hundreds withdrawn at once would widen the ration."""
+        if not act.answered and act.taken in self.took:
+            self.took.remove(act.taken)
+        self.close(act, None)
+
     def close(self, act: Activation, how: Do | None) -> None:
         """The one place that gives a final answer; None where the client has it or wants none."""
         if act.answered:
--- a/threadshift/interface.py
+++ b/threadshift/interface.py
@@ -162,6 +162,7 @@
     ivk: str
     kind: Any
     fn: Any
+    taken: int
     due: int                     # when its final answer is due
     work: int                    # cost hint in ns; 0: none
     spare: bool                  # worth least: a client's repetition, or beyond a share
@@ -192,5 +193,5 @@
         return []
 
     def left(self, now: int) -> list[Step]:
-        return self.dispatcher.steps(self.dispatcher.close, self, None)
+        return self.dispatcher.steps(self.dispatcher.quit, self)
 
