--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -421,7 +421,7 @@
 
 class Descriptors(unittest.TestCase):
     def test_who_comes_with_requests_amid_hundreds_that_say_nothing_is_not_closed_upon(self):
-        # Seen on a day of bad clients, once in five plays: nine requests of a new connection lost at once.
+        # Taken for what lost nine requests at once on a day of bad clients, in one of four plays.
         with Platform(limits={"cores": 1.0, "memory_mb": 96, "sockets": 32}) as it:
             most = it.node.door.most()
             silent = [native(it.address) for _ in range(most)]
