A front end sends nothing before the coordinator has answered: its first list is as old as its start

Root cause: a front end served from the list under 'known' in its configuration as soon as it listened (node/front.py run, ready; fastcgi/door.py take). That list is as old as the start of the process, 0.35 s with some 200 starting at once, and what the coordinator has had since then counts as told (PROTOCOL, The coordinator). Change: requests wait, beside their readers, until the first answer and the events behind it are read, for 4 s at the most; until then /alive is 503. One whose time runs out is refused in time. The stream is dialled before the links.

--- a/tests/platform.py
+++ b/tests/platform.py
@@ -66,11 +66,15 @@
 
 
 class Coordinator(Server):
-    """Serves the stream: `events` on connecting, then what say() is given; one that is dumb says nothing more."""
+    """Serves the stream: `events` on connecting, then what say() is given; one that is dumb says nothing more.
+
+    While `answering` is not set, requests are read and not answered."""
 
     def __init__(self, events=(), address=ANY):
         super().__init__(address)
         self.events, self.asked, self.dumb = list(events), [], False
+        self.answering = Event()
+        self.answering.set()
 
     def converse(self, sock):
         head = b""
@@ -79,6 +83,7 @@
         last = next(int(line.split(b":")[1]) for line in head.split(b"\r\n")
                     if line.lower().startswith(b"last-event-id"))
         self.asked.append(last)
+        self.answering.wait()
         sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
         for each in self.events:
             if each["index"] > last:
@@ -134,9 +139,9 @@
         headers = dict(line.split(": ", 1) for line in head.decode().split("\r\n"))
         return int(headers.pop("Status").split()[0]), headers, body
 
-    def alive(self):
-        self.send(begin() + params(1, {"SCRIPT_NAME": "/alive"}) + stream(STDIN, 1, b""))
-        return self.answer()
+    def alive(self, number=1):
+        self.send(begin(number) + params(number, {"SCRIPT_NAME": "/alive"}) + stream(STDIN, number, b""))
+        return self.answer(number)
 
     def abort(self, number=1):
         self.send(record(ABORT, number))
@@ -184,12 +189,17 @@
 
 
 class Platform:
-    """A running front end; started with `with`, and everything it started is ended with it."""
+    """A running front end; started with `with`, and everything it started is ended with it.
+
+    Where the coordinator is not `answering`, it is entered as soon as its links are up."""
 
-    def __init__(self, scripts=(serve,), **changes):
+    def __init__(self, scripts=(serve,), answering=True, **changes):
         self.workers = [Worker(script) for script in scripts]
         self.coordinator = Coordinator([event(1, *(
             instance(f"s-{n}", it.address) for n, it in enumerate(self.workers)), full=True)])
+        if not answering:
+            self.coordinator.answering.clear()
+            changes["known"] = {"index": 1, "updates": list(self.coordinator.events)}
         self.log = Silent()
         self.address = Address("127.0.0.1", free_port())
         self.told = understand(configuration(listen=str(self.address), coordinator=str(self.coordinator.address),
@@ -202,6 +212,7 @@
         self.running = gevent.spawn(self.node.run)
         until(lambda: self.node.links and all(link.up for link in self.node.links.values()) or (
             not self.workers and self.node.listening))
+        until(lambda: not self.coordinator.answering.is_set() or not self.node.list_is_stale())
         return self
 
     def __exit__(self, *_):
--- a/threadshift/coordinator/stream.py
+++ b/threadshift/coordinator/stream.py
@@ -1,11 +1,13 @@
 """Follows the coordinator's stream of events, over HTTP/1.1; dialled anew when it breaks or falls silent."""
 from __future__ import annotations
 
+import select
 import time
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
 
+import gevent
 import httptools
 from gevent import socket
 from gevent.event import Event
@@ -14,7 +16,7 @@
 from threadshift.coordinator.events import Numbers, Stream, Unbelievable, Word
 from threadshift.interface import MS, SECOND
 from threadshift.links.redial import Redial
-from threadshift.links.sockets import READ, connect
+from threadshift.links.sockets import READ, connect, shows
 from threadshift.log import fault_of
 
 PATH = "/v2/stream"
@@ -23,6 +25,7 @@
 CONNECT = 500 * MS         # until another try: word counts as told two seconds after a break
 LONGEST_PAUSE = 400 * MS   # between two tries, for the same reason
 LONGEST_HEAD = 16 << 10    # bytes before the first event
+CATCH_UP = 10 * MS         # after the head, for the events that were missed: they are written right behind it
 
 
 class Response:
@@ -68,6 +71,7 @@
         self.redial = Redial(chance, LONGEST_PAUSE)
         self.sock: socket.socket | None = None
         self.silent = False              # the connection before fell silent, and this one has not spoken yet
+        self.caught_up = False           # a coordinator has answered since the start: `known` was as old as that
         self.moved = Event()
 
     def known(self, id_: str, data: Any) -> None:
@@ -106,6 +110,11 @@
             self.note("coordinator-lost", level="warning", problem=problem, again_ms=max(0, pause) // MS)
             self.moved.wait(max(0, pause) / SECOND)
 
+    def catch_up(self, sock: socket.socket) -> None:
+        """The first answer since the start has begun: the list is up to date once all that was missed is read."""
+        gevent.sleep(CATCH_UP / SECOND)
+        self.caught_up = not shows(sock, select.POLLIN)
+
     def follow(self, address: Address) -> str:
         """One connection until it ends; why it ended."""
         sock = None
@@ -127,6 +136,8 @@
                     self.redial.up(time.monotonic_ns())
                 for event in events:
                     self.known(event.id, event.data)
+                if response.begun and not self.caught_up:
+                    self.catch_up(sock)
                 if response.ended:
                     return "ended by the coordinator"
             return "closed by the coordinator"
--- a/threadshift/fastcgi/door.py
+++ b/threadshift/fastcgi/door.py
@@ -18,10 +18,11 @@
 from threadshift.desk.desk import Desk, Held
 from threadshift.fastcgi import codec, requests, room
 from threadshift.fastcgi.codec import ABORT, BEGIN, GET_VALUES, PARAMS, STDIN, Records, NotFastCGI
+from threadshift.fastcgi.postponed import PostponedRequests
 from threadshift.fastcgi.requests import LONGEST_BODY, LONGEST_PARAMS, Unfit
 from threadshift.interface import MS, SECOND, NamespaceType
 from threadshift.invoke.admission import Admission
-from threadshift.invoke.looks import SETTLE, STALL, Looks
+from threadshift.invoke.looks import STALL, Looks
 from threadshift.invoke.tally import Tally
 from threadshift.links.sockets import BACKLOG, Outgoing, arriving, shows
 from threadshift.log import fault_of
@@ -35,7 +36,6 @@
 ROOM_WAIT = 2 * MS         # for connections that make room to end
 ROOM_WAITS = 10            # such waits at the most: a loop at its limit takes as long to come round
 VAIN = 100 * MS            # without waiting for room again once that was in vain: who comes is closed upon at once
-SETTLES = 5                # waits at the most for a connection to be read empty; one that is flooded never is
 FLUSH = 100 * MS           # at the end, for what was let in last to be answered; a refusal takes a ms
 PROMPT = 50 * MS           # from accepting to the first bytes: what comes so soon came with the connection
 
@@ -239,25 +239,19 @@
                 self.limit = min(self.limit, now + left)
 
 
-def unread_on(request: Request) -> bool:
-    """Whether something lies unread on the connection of a request that is open."""
-    connection = request.connection
-    return connection.open.get(request.number) is request and shows(
-        connection.sock, select.POLLIN | select.POLLRDHUP)
-
-
 class Door:
     """The listener and all connections; the desk's port to clients."""
 
     def __init__(self, most: Callable[[], int], activations: int, types: dict[str, NamespaceType], advice: int,
-                 admission: Admission, ready: Callable[[], bool], note: Callable[..., None],
-                 chance: Callable[[], float]):
+                 admission: Admission, ready: Callable[[], bool], list_is_stale: Callable[[], bool],
+                 note: Callable[..., None], chance: Callable[[], float]):
         self.most, self.activations, self.types, self.advice = most, activations, types, advice
         self.admission, self.ready, self.note, self.chance = admission, ready, note, chance
+        self.list_is_stale = list_is_stale      # whether no request may be taken yet, for want of a current list
         self.looks, self.tally = Looks(), Tally()
         self.connections: set[Connection] = set()
         self.greenlets = Group()
-        self.late: list[tuple[Request, requests.Asked, int, int]] = []     # put off, for how long unread, since when
+        self.postponed = PostponedRequests(self, self.greenlets.spawn)
         self.closing = False
         self.due = self.in_vain = 0
         self.desk: Desk
@@ -333,30 +327,27 @@
         request.held, request.told, request.body = True, {}, b""
         # It may have lain unread since the event loop looked last: its client's time ran all the while.
         unread = max(unread, self.looks.unread(time.monotonic_ns()))
-        if unread < STALL:
+        if unread < STALL and not self.list_is_stale():
             self.let_in(request, asked, unread)
-        elif len(self.late) + len(self.desk.held) >= self.activations:
+        elif len(self.postponed) + len(self.desk.held) >= self.activations:
             self.refuse(request, FULL)
         else:
-            if not self.late:
-                self.greenlets.spawn(self.take_late)
-            self.late.append((request, asked, unread, time.monotonic_ns()))
-
-    def take_late(self) -> None:
-        """After a standstill, what came meanwhile is read first: word that a worker drains, as rule 3 counts from
-        when it came, and that a client is gone. It waits here and not in the reader of the request, which could not
-        read that word then."""
-        while self.late:
-            gevent.sleep(SETTLE / SECOND)
-            now, late = time.monotonic_ns(), self.late
-            self.late = [each for each in late if now - each[3] < SETTLES * SETTLE and unread_on(each[0])]
-            for request, asked, unread, since in late:
-                # One that is not open any more was given up by its client.
-                if request.connection.open.get(request.number) is request and not any(
-                        request is each[0] for each in self.late):
-                    self.take_one(request, asked, unread + now - since)
-
-    def take_one(self, request: Request, asked: requests.Asked, unread: int) -> None:
+            self.postponed.add(request, asked, unread)
+
+    # What postponed requests ask for.
+
+    def still_open(self, request: Request) -> bool:
+        return request.connection.open.get(request.number) is request
+
+    def unread_on(self, request: Request) -> bool:
+        """Whether something lies unread on the connection of a request that is open."""
+        return self.still_open(request) and shows(request.connection.sock, select.POLLIN | select.POLLRDHUP)
+
+    def refuse_late(self, request: Request) -> None:
+        self.refuse(request, LATE)
+
+    def take_postponed(self, request: Request, asked: requests.Asked, unread: int) -> None:
+        """A request that has waited long enough: refused, or the desk's from here on."""
         try:
             self.let_in(request, asked, unread)
         except Unfit as problem:
--- a/threadshift/node/front.py
+++ b/threadshift/node/front.py
@@ -52,7 +52,8 @@
         self.admission = Admission(min(each.target_latency for each in types.values()))
         self.descriptors = Descriptors(told.sockets)
         self.door = Door(lambda: self.descriptors.clients(self.dialled), told.activations, types,
-                         told.deployment.longest_advice, self.admission, self.ready, self.note, self.chance)
+                         told.deployment.longest_advice, self.admission, self.ready, self.list_is_stale, self.note,
+                         self.chance)
         self.looks = self.door.looks
         dispatcher = Dispatcher(chance.getrandbits(63), told.deployment, now)
         earlier.assume(dispatcher, told.deployment, now)
@@ -61,7 +62,7 @@
         self.leaving = Leaving(max(each.action_timeout for each in types.values()))
         self.greenlets = Group()
         self.listening: socket.socket | None = None
-        self.ready_by = 0            # from when on it is ready although it knows no worker
+        self.ready_by = 0            # from then on it serves without an answer of a coordinator, or without workers
 
     # Workers.
 
@@ -95,9 +96,16 @@
     def lost(self) -> None:
         self.roster_lost = True
 
+    def list_is_stale(self) -> bool:
+        """Whether the list is still the one of the configuration, which is as old as the start of this process.
+
+        A worker that drained since then counts as told of all the same, so nothing is sent before the coordinator
+        has answered; but not for ever, or no front end would serve while there is none."""
+        return not self.following.caught_up and time.monotonic_ns() < self.ready_by
+
     def ready(self) -> bool:
         # A list that is late or empty is waited for, not for ever: refused for it, a whole fleet would never start.
-        return self.listening is not None and not self.leaving.since and (
+        return self.listening is not None and not self.leaving.since and not self.list_is_stale() and (
             bool(self.desk.dispatcher.fleet) or time.monotonic_ns() >= self.ready_by)
 
     # Signals.
@@ -132,10 +140,10 @@
         """Serves until told to end and what is held has its answers. Raises OSError where it cannot listen."""
         sock = listener(self.told.listen, shared=False)
         self.door.looks.start()
+        self.listening, self.ready_by = sock, time.monotonic_ns() + LIST_WAIT
+        self.greenlets.spawn(self.following.run)    # before the links dial: calls wait for the coordinator's answer
         self.take_known(self.told)
-        self.greenlets.spawn(self.following.run)
         self.greenlets.spawn(self.door.accept, sock)
-        self.listening, self.ready_by = sock, time.monotonic_ns() + LIST_WAIT
         self.note("started", listen=str(self.told.listen), pid=os.getpid(), workers=len(self.links))
         self.keep_time(lambda: self.stage() not in (Stage.STAYING, Stage.SERVING))
         self.door.closing = True        # the listener stays: who still comes is refused in words, not by a reset
