--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -180,7 +180,7 @@
 
     def test_rule_3_a_drain_not_heard(self):
         def deaf(live):
-            live.front.told_of = lambda listings: None
+            live.front.apply_listings = lambda listings: None
 
         def run(live, ask):
             ask.call("f")
--- a/tests/test_drain_grace.py
+++ b/tests/test_drain_grace.py
@@ -13,13 +13,26 @@
 from pathlib import Path
 from unittest import mock
 
-from gevent import subprocess
+import hypothesis
+from gevent import socket, subprocess
+from gevent.event import Event
+from hypothesis import given
+from hypothesis import strategies as st
 
-from tests.live import free_port, until
-from tests.platform import SETTINGS, Client, Coordinator, Platform, Worker, configuration, event, instance
+from tests.live import ANY, Live, free_port, until
+from tests.platform import (
+    SETTINGS, Client, Coordinator, Platform, Worker, configuration, event, instance, request, serve)
 from threadshift.conf.values import Address
+from threadshift.coordinator import freshness
+from threadshift.coordinator.freshness import (
+    ANSWER, CONNECT, LONGEST_PAUSE, PATIENT, SILENCE, SILENCE_AGAIN, TOLD_AFTER_BREAK, TOLD_AFTER_SILENCE, Freshness)
+from threadshift.fastcgi.codec import Records
+from threadshift.frames import link
 from threadshift.frames.codec import HOLD, INVOKE
-from threadshift.interface import MS
+from threadshift.interface import MS, SECOND, State
+from threadshift.links.codec import encode
+from threadshift.links.redial import Redial
+from threadshift.roster.membership import Entry, Membership, WorkerList
 
 ROOT = Path(__file__).resolve().parent.parent
 DRAINING_WORKER, READY_WORKER = "s-0", "s-1"
@@ -28,6 +41,10 @@
 ITEMS = [f"{n:016x}" for n in range(12)]       # functions; some have the draining worker as their home
 
 
+def silent(worker, sock, it):
+    """A worker that answers nothing."""
+
+
 def short_grace_settings(grace_ms=300.0):
     settings = json.loads(json.dumps(SETTINGS))
     settings["rules"]["drainGrace"] = grace_ms
@@ -167,5 +184,271 @@
             self.assertEqual(it.node.door.tally.totals(), {"too-many-activations": 1})
 
 
+class NewsThatLiesUnread(unittest.TestCase):
+    """A drain has arrived from the coordinator and is not read yet, however short the stall was."""
+
+    def drain_unread(self, it):
+        """The drain lies in the socket of the stream; the loop has not turned since."""
+        it.coordinator.say(event(2, instance("s-0", it.workers[0].address, "Terminating")))
+        self.assertTrue(it.node.desk.dispatcher.workers["s-0"].ready)
+
+    def assert_not_sent(self, it):
+        self.assertFalse(it.node.desk.dispatcher.workers["s-0"].ready)
+        self.assertEqual(it.workers[0].codes(INVOKE) + it.workers[0].codes(HOLD), [])
+
+    def test_is_read_before_what_an_answer_brings(self):
+        with Platform() as it:
+            self.drain_unread(it)
+            it.node.settle()
+            self.assert_not_sent(it)
+
+    def test_is_read_before_a_request_is_taken(self):
+        with Platform() as it:
+            client = it.client()
+            until(lambda: it.node.door.connections)
+            connection = next(iter(it.node.door.connections))
+            self.drain_unread(it)
+            for kind, number, content in Records().feed(request()):
+                connection.hear(kind, number, content)
+            self.assertEqual(client.answer()[0], 503)
+            self.assert_not_sent(it)
+
+    def test_is_read_before_the_timer_decides(self):
+        with Platform() as it:
+            ready = []
+            it.node.desk.due = lambda: 0
+            it.node.desk.tick = lambda now: ready.append(it.node.desk.dispatcher.workers["s-0"].ready)
+            self.drain_unread(it)
+            it.node.beat(time.monotonic_ns(), 0)
+            self.assertFalse(any(ready[-1:]))
+            del it.node.desk.due, it.node.desk.tick
+
+    def settling(self, it):
+        """How sends stood, each time that unread news was waited for: the list is filled as that happens."""
+        seen, settle = [], it.node.settle
+
+        def noted():
+            seen.extend(sent.outcome for held in it.node.desk.held.values() for sent in held.sends)
+            settle()
+        it.node.settle = noted
+        return seen
+
+    def test_is_read_before_a_break_lets_calls_go_on(self):
+        with Platform([silent]) as it:
+            client, seen = it.client(), self.settling(it)
+            client.ask(type_="submit")
+            until(lambda: it.workers[0].codes(INVOKE))
+            for sock in it.workers[0].open:
+                sock.shutdown(socket.SHUT_RDWR)
+            self.assertEqual(client.answer()[0], 502)
+            self.assertIn(None, seen)
+
+    def test_is_read_before_a_dial_that_failed_lets_calls_go_on(self):
+        fails = Event()
+
+        def refused(address, limit):
+            fails.wait(5)
+            raise OSError("refused")
+        with Platform() as it, mock.patch.object(link, "connect", refused):
+            client, seen, only = it.client(), self.settling(it), it.node.links["s-0"]
+            for connection in list(only.connections):
+                only.end(connection)
+            client.ask(type_="submit")
+            until(lambda: only.queue)
+            fails.set()
+            self.assertEqual(client.answer()[0], 503)
+            self.assertIn(None, seen)
+
+class TheDaemon(unittest.TestCase):
+    """The same for `threadshift run`, whose list comes over the roster's feed."""
+
+    def test_news_of_the_feed_that_lies_unread_is_read_before_anything_is_sent(self):
+        with Live(workers=1) as live:
+            for act in (live.front.settle, live.front.api.read_updates):
+                until(lambda: live.front.desk.dispatcher.workers["w0"].ready)
+                live.list("w0", live.workers["w0"].address)
+                changed = dict(live.feed.workers["w0"], state="draining")
+                until(lambda: live.front.feed.generation == live.feed.generation)
+                live.feed.generation += 1
+                for peer in live.feed.peers:
+                    peer.sock.sendall(encode("changes", generation=live.feed.generation, workers=[changed]))
+                self.assertTrue(live.front.desk.dispatcher.workers["w0"].ready)
+                act()
+                self.assertFalse(live.front.desk.dispatcher.workers["w0"].ready)
+                live.feed.obey(["state", "w0", "ready"])
+
+    def test_calls_ask_for_it(self):
+        with Live(workers=1) as live, mock.patch.object(live.front.api, "read_updates") as asked:
+            live.call("f")
+            self.assertTrue(asked.called)
+
+
+class WithinOneEvent(unittest.TestCase):
+    def test_what_a_replaced_link_lets_go_on_does_not_go_to_who_drains_by_the_same_event(self):
+        with Platform([silent, silent]) as it:
+            client = it.client()
+            client.ask(left="900")
+            until(lambda: any(each.codes(INVOKE) for each in it.workers))
+            moved = next(n for n, each in enumerate(it.workers) if each.codes(INVOKE))
+            successor, other = Worker(), 1 - moved
+            it.extra.append(successor)
+            it.coordinator.say(event(2, instance(f"s-{moved}", successor.address),
+                                     instance(f"s-{other}", it.workers[other].address, "Terminating")))
+            self.assertEqual(client.answer()[0], 200)
+            self.assertEqual(it.workers[other].codes(INVOKE), [])
+
+    def test_a_bad_entry_does_not_keep_a_drain_beside_it_from_being_heard(self):
+        with Platform() as it:
+            it.coordinator.say(event(2, instance("s-7", "nowhere", weight="heavy"),
+                                     instance("s-0", it.workers[0].address, "Terminating")))
+            until(lambda: not it.node.desk.dispatcher.workers["s-0"].ready)
+            self.assertEqual(it.log.of("event-unreadable")[0]["entries"], 1)
+            self.assertEqual(it.call()[0], 503)
+
+    def test_nor_does_what_is_wrong_with_the_drain_s_own_entry(self):
+        with Platform() as it:
+            it.coordinator.say(event(2, instance("s-0", "nowhere", "Terminating", weight=None, zone=7)))
+            until(lambda: not it.node.desk.dispatcher.workers["s-0"].ready)
+
+    def test_a_worker_of_a_full_list_whose_entry_is_bad_stays_as_it_was(self):
+        with Platform([serve, serve]) as it:
+            it.coordinator.say(event(2, instance("s-0", "nowhere"), full=True))
+            until(lambda: not it.node.desk.dispatcher.workers["s-1"].ready)
+            self.assertTrue(it.node.desk.dispatcher.workers["s-0"].ready)
+            self.assertEqual(it.call()[0], 200)
+
+
+class Numbers(unittest.TestCase):
+    """Events that a front end must not pass over."""
+
+    def drained(self, it):
+        until(lambda: not it.node.desk.dispatcher.workers["s-0"].ready)
+
+    def reload(self, it, known, coordinator):
+        with tempfile.NamedTemporaryFile("w") as file:
+            file.write(json.dumps(configuration(coordinator=str(coordinator.address), known=known)))
+            file.flush()
+            it.environment["NODE_CONFIG"] = file.name
+            it.node.reload()
+
+    def test_a_new_configuration_does_not_raise_the_number_past_events_that_were_not_applied(self):
+        with Platform() as it:
+            address = it.workers[0].address
+            drain = event(2, instance("s-0", address, "Terminating"))
+            later = event(3, instance("s-0", address, "Terminating", weight=2.0))
+            for known in ({"index": 9, "updates": []}, {"index": 3, "updates": [later]}):
+                self.reload(it, known, it.coordinator)
+                self.assertEqual(it.node.coordinator.sequence.last, 1)
+            moved = Coordinator([event(1, full=True), drain, later])
+            it.extra.append(moved)
+            self.reload(it, {"index": 9, "updates": []}, moved)
+            self.drained(it)
+            self.assertEqual(moved.asked, [1])
+
+    def test_the_events_of_a_new_configuration_count_at_once(self):
+        with Platform() as it:
+            address = it.workers[0].address
+            self.reload(it, {"index": 3, "updates": [
+                event(1, instance("s-0", address), full=True), event(2, instance("s-0", address, weight=2.0)),
+                event(3, instance("s-0", address, "Terminating"))]}, it.coordinator)
+            self.assertFalse(it.node.desk.dispatcher.workers["s-0"].ready)
+
+    def test_where_an_event_is_missing_the_stream_is_asked_again_once(self):
+        with Platform() as it:
+            address = it.workers[0].address
+            it.coordinator.events.append(event(2, instance("s-0", address, "Terminating")))     # not written
+            it.coordinator.say(event(3, instance("s-9", address, "Gone")))
+            self.drained(it)
+            self.assertEqual(it.coordinator.asked[1:], [1])
+            it.coordinator.say(event(5, instance("s-0", address)))      # there is no fourth
+            until(lambda: it.node.desk.dispatcher.workers["s-0"].ready)
+            self.assertEqual(it.coordinator.asked[2:], [3])
+
+
+class FindingTheCoordinatorAgain(unittest.TestCase):
+    """From when the coordinator has a change, or is said to have told it, to when it is read here."""
+
+    FAILURES = (CONNECT, ANSWER)        # a dial that hangs; one that is answered by nothing
+
+    def found_after(self, begun, failures):
+        """When a try is made that succeeds, after so many failures; each pause as long as it may be."""
+        redial, now = Redial(lambda: 1.0, LONGEST_PAUSE), begun
+        now = redial.broke(now)
+        for took in failures:
+            now = redial.broke(now + took)
+        return now
+
+    @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+    @given(st.integers(0, 3000), st.sampled_from(("break", "silence", "silence twice", "configuration")),
+           st.lists(st.sampled_from(FAILURES), max_size=3))
+    def test_two_failures_in_a_row_leave_the_whole_grace_and_three_all_but_140_ms(self, grace_ms, how, failures):
+        grace = grace_ms * MS
+        told, begun, most = {
+            "break": (TOLD_AFTER_BREAK, 0, 2), "silence": (TOLD_AFTER_SILENCE, SILENCE, 2),
+            "silence twice": (TOLD_AFTER_SILENCE, self.found_after(SILENCE, []) + SILENCE_AGAIN, 1),
+            "configuration": (TOLD_AFTER_SILENCE, 0, 2)}[how]
+        found = self.found_after(begun, failures)
+        if len(failures) <= most:
+            self.assertLessEqual(found, told)
+            self.assertLessEqual(found, told + grace)
+        elif how != "silence twice":
+            self.assertLessEqual(found, told + 140 * MS)
+
+    def test_a_coordinator_that_accepts_and_does_not_answer_is_dialled_anew(self):
+        with mock.patch.object(freshness, "ANSWER", 100 * MS), Platform(answering=False) as it:
+            until(lambda: len(it.coordinator.asked) == 2, seconds=1.0)
+            self.assertEqual(it.log.of("coordinator-lost")[0]["problem"], "no answer in time")
+
+    def test_one_that_is_slow_is_found_by_tries_with_more_time(self):
+        it = Freshness()
+        limits = []
+        for _ in range(5):
+            limits.append(it.dialled())
+            it.lost(silent=False, answered=False)
+        self.assertEqual(limits, [CONNECT] * 3 + [PATIENT] * 2)
+        it.received(SECOND)
+        self.assertEqual(it.dialled(), CONNECT)
+
+    def test_since_when_news_counts_as_told(self):
+        it = Freshness()
+        self.assertEqual(it.told_since(5 * SECOND, 0), 0)       # before the start, for all that is known
+        it.received(6 * SECOND)
+        it.caught_up()
+        it.received(7 * SECOND)
+        self.assertEqual(it.told_since(8 * SECOND, 30 * MS), 8 * SECOND - 30 * MS)
+        it.lost(silent=False, answered=True)
+        it.received(9 * SECOND)
+        self.assertEqual(it.told_since(9 * SECOND, 0), 7 * SECOND)
+        it.lost(silent=False, answered=True)                    # lost again before it had caught up
+        self.assertEqual(it.told_since(9 * SECOND, 0), 7 * SECOND)
+        it.received(10 * SECOND)
+        it.caught_up()
+        self.assertEqual(it.told_since(11 * SECOND, 0), 11 * SECOND)
+
+
+class EmptyLists(unittest.TestCase):
+    @hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+    @given(st.integers(0, 3000), st.integers(0, 6000))
+    def test_one_is_believed_within_the_grace_of_when_it_counts_as_told(self, grace_ms, late_ms):
+        grace, told, read = grace_ms * MS, 10 * SECOND, 10 * SECOND + late_ms * MS
+        it = Membership(grace)
+        it.listed(0, 0, [Entry("a", ANY)], full=True)
+        changed = it.apply(read, 0, WorkerList([], full=True), told)
+        while not changed:
+            read += 5 * MS                  # the timer's tick
+            changed = it.tick(read)
+            self.assertLessEqual(read, max(told + grace, told + late_ms * MS) + 5 * MS)
+        self.assertEqual([(each.worker, each.state) for each in changed], [("a", State.GONE)])
+        if late_ms >= grace_ms:
+            self.assertEqual(read, told + late_ms * MS)
+
+    def test_workers_told_of_after_it_are_not_gone_with_those_before(self):
+        it = Membership(SECOND)
+        it.listed(0, 0, [Entry("a", ANY), Entry("b", ANY)], full=True)
+        it.listed(SECOND, 0, [], full=True)
+        it.listed(SECOND + MS, 0, [Entry("b", ANY), Entry("c", ANY)], full=False)
+        self.assertEqual([each.worker for each in it.tick(2 * SECOND)], ["a"])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -129,7 +129,7 @@
             return True
         halls = ("zone_loss at 2s for 1s zone a", "zone_loss at 2s for 1s zone b", "burst at 3s for 6s times 6")
         cases = ((2, Dispatcher, "may_send", resend, ("break_after_run at 3s for 5s workers 6",)),
-                 (3, ModelFront, "told_of", deaf, ("drain at 2s for 9s workers 5",)),
+                 (3, ModelFront, "apply_listings", deaf, ("drain at 2s for 9s workers 5",)),
                  (4, Dispatcher, "place", lambda self, act, now: max(self.fleet, key=lambda each: each.since), halls),
                  (5, Dispatcher, "hold", greedy, ("scan at 2s for 8s share 80%",)))
         for rule, owner, name, wrong, troubles in cases:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -539,6 +539,6 @@
         told = placement.understand(configuration(known={"index": 3, "updates": [
             event(1, instance("s-0", "127.0.0.1:9"), full=True), event(3, instance("s-0", "127.0.0.1:9", "Gone"))]}),
             {}, "f")
-        it.node.take_known(told)
-        self.assertEqual(it.node.following.numbers.last, 3)
+        it.node.coordinator.apply_known(told.known)
+        self.assertEqual(it.node.coordinator.sequence.last, 3)
         self.assertEqual(os.path.basename(told.name), "n0")
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -24,7 +24,7 @@
     SETTINGS, Client, Coordinator, Platform, Worker, begin, configuration, event, instance, params, request)
 from tests.test_desk import ask, desk
 from threadshift.conf.values import Address
-from threadshift.coordinator import stream as stream_of
+from threadshift.coordinator import freshness
 from threadshift.fastcgi import room
 from threadshift.fastcgi.codec import STDIN, record, stream
 from threadshift.frames import link
@@ -337,17 +337,18 @@
 class TheList(unittest.TestCase):
     def test_a_fault_of_ours_under_an_event_does_not_end_the_stream(self):
         with Platform() as it:
-            it.node.following.heard, heard = mock.Mock(side_effect=KeyError("planted")), it.node.following.heard
+            apply = it.node.coordinator.on_update
+            it.node.coordinator.on_update = mock.Mock(side_effect=KeyError("planted"))
             it.coordinator.say(event(2, instance("s-0", it.workers[0].address, weight=2.0)))
             until(lambda: it.log.of("fault"))
-            it.node.following.heard = heard
+            it.node.coordinator.on_update = apply
             it.coordinator.say(event(3, instance("s-0", it.workers[0].address, "Terminating")))
             until(lambda: not it.node.desk.dispatcher.workers["s-0"].ready)
 
     def test_a_move_while_a_dial_is_out_and_two_at_once(self):
         with Platform() as it:
-            others = [Coordinator([event(1, full=True), event(2 + n, instance("s-0", it.workers[0].address, state))])
-                      for n, state in enumerate(("Ready", "Terminating"))]
+            others = [Coordinator([event(1, full=True), event(2, instance("s-0", it.workers[0].address, state))])
+                      for state in ("Ready", "Terminating")]
             it.extra += others
             hole = plain.socket()       # what dials it waits: its backlog is full
             hole.bind(("127.0.0.1", 0))
@@ -356,10 +357,10 @@
             for each in fillers:
                 each.setblocking(False)
                 each.connect_ex(hole.getsockname())
-            it.node.following.move(Address(*hole.getsockname()))
-            until(lambda: it.node.following.sock is None)
-            it.node.following.move(others[0].address)
-            it.node.following.move(others[1].address)
+            it.node.coordinator.move(Address(*hole.getsockname()))
+            until(lambda: it.node.coordinator.sock is None)
+            it.node.coordinator.move(others[0].address)
+            it.node.coordinator.move(others[1].address)
             until(lambda: not it.node.desk.dispatcher.workers["s-0"].ready)
             self.assertEqual((others[0].asked, others[1].asked), ([], [1]))
             for each in [hole, *fillers]:
@@ -375,10 +376,10 @@
 
     def test_after_a_silence_less_is_waited_for_until_the_stream_speaks(self):
         # Two silent connections in a row took 4.2 s; word counts as told after four.
-        self.assertLess(stream_of.SILENT + stream_of.SILENT_AGAIN + 2 * stream_of.CONNECT, 4 * SECOND + 50 * MS)
-        with mock.patch.multiple(stream_of, SILENT=400 * MS, SILENT_AGAIN=300 * MS), Platform() as it:
+        self.assertLess(freshness.SILENCE + freshness.SILENCE_AGAIN + 2 * freshness.CONNECT, 4 * SECOND + 50 * MS)
+        with mock.patch.multiple(freshness, SILENCE=400 * MS, SILENCE_AGAIN=300 * MS), Platform() as it:
             def waits():
-                sock = it.node.following.sock
+                sock = it.node.coordinator.sock
                 return sock and sock.gettimeout()
             self.assertEqual(waits(), 0.4)
             it.coordinator.dumb = True              # from now on: a head and nothing more
@@ -393,7 +394,7 @@
         with Platform() as it:
             def start(number, at):
                 it.coordinator.say(event(number, instance("s-0", it.workers[0].address, startedAtMs=at)))
-                until(lambda: it.node.following.numbers.last == number)
+                until(lambda: it.node.coordinator.sequence.last == number)
                 return it.node.desk.dispatcher.workers["s-0"].since
             now = time.time_ns() // MS
             first, second = start(2, now - 1500), start(3, now - 300)
--- a/threadshift/coordinator/stream.py
+++ b/threadshift/coordinator/stream.py
@@ -3,7 +3,7 @@
 
 import select
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from typing import Any
 
@@ -13,17 +13,14 @@
 from gevent.event import Event
 
 from threadshift.conf.values import Address
-from threadshift.coordinator.events import Numbers, Stream, Unbelievable, Word
+from threadshift.coordinator.events import EventParser, EventSequence, InvalidEvent, ListUpdate, MissingEvents
+from threadshift.coordinator.freshness import LONGEST_PAUSE, Freshness
 from threadshift.interface import MS, SECOND
 from threadshift.links.redial import Redial
 from threadshift.links.sockets import READ, connect, shows
 from threadshift.log import fault_of
 
 PATH = "/v2/stream"
-SILENT = 1_800 * MS        # without even the comment of each second, until the stream is dialled anew
-SILENT_AGAIN = 1_200 * MS  # the same after a silence, until it speaks: word counts as told after four seconds of two
-CONNECT = 500 * MS         # until another try: word counts as told two seconds after a break
-LONGEST_PAUSE = 400 * MS   # between two tries, for the same reason
 LONGEST_HEAD = 16 << 10    # bytes before the first event
 CATCH_UP = 10 * MS         # after the head, for the events that were missed: they are written right behind it
 
@@ -61,31 +58,47 @@
         return body
 
 
-class Following:
-    """One front end's stream. Word of workers goes to `heard`, in order, each once."""
+class CoordinatorStream:
+    """One front end's stream. What it says of workers goes to `on_update`, in order, each event once."""
 
-    def __init__(self, address: Address, heard: Callable[[Word], None], lost: Callable[[], None],
+    def __init__(self, address: Address, on_update: Callable[[ListUpdate], None], on_lost: Callable[[], None],
                  note: Callable[..., None], chance: Callable[[], float]):
-        self.address, self.heard, self.lost, self.note = address, heard, lost, note
-        self.numbers = Numbers()
+        self.address, self.on_update, self.on_lost, self.note = address, on_update, on_lost, note
+        self.sequence, self.freshness = EventSequence(), Freshness()
         self.redial = Redial(chance, LONGEST_PAUSE)
         self.sock: socket.socket | None = None
-        self.silent = False              # the connection before fell silent, and this one has not spoken yet
-        self.caught_up = False           # a coordinator has answered since the start: `known` was as old as that
         self.moved = Event()
 
-    def known(self, id_: str, data: Any) -> None:
-        """One event, from wherever it came."""
+    def apply_known(self, events: Iterable[Any]) -> None:
+        """The events of a configuration."""
+        for update in self.sequence.accept_known(events):
+            if isinstance(update, InvalidEvent):
+                self.note("event-unreadable", level="warning", problem=str(update))
+            else:
+                self.hand_on(update)
+
+    def apply(self, id_: str, data: str) -> None:
+        """One event of the stream. Raises MissingEvents."""
         try:
-            told = self.numbers.hear(id_, data)
-        except Unbelievable as problem:
+            update = self.sequence.accept(id_, data)
+        except InvalidEvent as problem:
             self.note("event-unreadable", level="warning", problem=str(problem))
             return
-        if told is not None:
-            try:
-                self.heard(told)
-            except Exception as fault:      # ours, and loud: the next event is followed all the same
-                self.note("fault", level="error", **fault_of(fault))
+        if update is not None:
+            self.hand_on(update)
+
+    def hand_on(self, update: ListUpdate) -> None:
+        if update.problems:
+            self.note("event-unreadable", level="warning", problem="; ".join(update.problems)[:500],
+                      entries=len(update.problems))
+        try:
+            self.on_update(update)
+        except Exception as fault:      # ours, and loud: the next event is followed all the same
+            self.note("fault", level="error", **fault_of(fault))
+
+    def unread(self) -> bool:
+        """Whether something of the coordinator has arrived and is not read yet."""
+        return self.sock is not None and shows(self.sock, select.POLLIN)
 
     def move(self, address: Address) -> None:
         """Goes on at another address, at once, with the numbers kept."""
@@ -93,6 +106,7 @@
             return
         self.address = address
         self.redial = Redial(self.redial.chance, LONGEST_PAUSE)
+        self.freshness.failures = 0
         self.moved.set()
         if self.sock is not None:
             with suppress(OSError):
@@ -105,48 +119,57 @@
             problem = self.follow(address)
             if address != self.address:
                 continue
-            self.lost()
+            self.on_lost()
             pause = self.redial.broke(time.monotonic_ns()) - time.monotonic_ns()
             self.note("coordinator-lost", level="warning", problem=problem, again_ms=max(0, pause) // MS)
             self.moved.wait(max(0, pause) / SECOND)
 
-    def catch_up(self, sock: socket.socket) -> None:
-        """The first answer since the start has begun: the list is up to date once all that was missed is read."""
-        gevent.sleep(CATCH_UP / SECOND)
-        self.caught_up = not shows(sock, select.POLLIN)
-
     def follow(self, address: Address) -> str:
         """One connection until it ends; why it ended."""
-        sock = None
+        sock, response, silent = None, Response(), False
         try:
-            sock = connect(address, CONNECT)
+            sock = connect(address, self.freshness.dialled())
             if address != self.address:
                 return "moved"
             self.sock = sock
             sock.sendall(f"GET {PATH} HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\n"
-                         f"Last-Event-ID: {self.numbers.last}\r\n\r\n".encode())
-            sock.settimeout((SILENT_AGAIN if self.silent else SILENT) / SECOND)
-            response, stream = Response(), Stream()
-            while data := sock.recv(READ):
-                if (body := response.feed(data)) and self.silent:
-                    self.silent = False
-                    sock.settimeout(SILENT / SECOND)
-                events = stream.feed(body)
-                if events:
-                    self.redial.up(time.monotonic_ns())
-                for event in events:
-                    self.known(event.id, event.data)
-                if response.begun and not self.caught_up:
-                    self.catch_up(sock)
-                if response.ended:
-                    return "ended by the coordinator"
-            return "closed by the coordinator"
+                         f"Last-Event-ID: {self.sequence.last}\r\n\r\n".encode())
+            sock.settimeout(self.freshness.dialled() / SECOND)
+            self.read(sock, response)
+            return "ended by the coordinator" if response.ended else "closed by the coordinator"
         except TimeoutError:
-            self.silent = self.silent or self.sock is not None
-            return "silent" if self.sock is not None else "no connection in time"
-        except (OSError, Unbelievable) as failed:
+            silent = response.begun
+            return "silent" if silent else "no connection in time" if self.sock is None else "no answer in time"
+        except (OSError, InvalidEvent, MissingEvents) as failed:
             return str(failed) or type(failed).__name__
         finally:
             self.sock = None
+            self.freshness.lost(silent, response.begun)
             if sock is not None:
                 sock.close()
+
+    def read(self, sock: socket.socket, response: Response) -> None:
+        """Applies the events of one connection until it ends. Raises OSError, InvalidEvent, MissingEvents."""
+        parser = EventParser()
+        while not response.ended and (data := sock.recv(READ)):
+            body = response.feed(data)
+            if response.begun:
+                self.freshness.received(time.monotonic_ns())
+            if body:
+                self.freshness.spoke()
+            events = parser.feed(body)
+            if events:
+                self.redial.up(time.monotonic_ns())
+            for event in events:
+                self.apply(event.id, event.data)
+            if response.begun:
+                sock.settimeout(self.freshness.silence() / SECOND)
+                self.catch_up(sock)
+
+    def catch_up(self, sock: socket.socket) -> None:
+        """The list is current once all that was missed, which is written right behind the head, has been read."""
+        if self.freshness.current:
+            return
+        gevent.sleep(CATCH_UP / SECOND)
+        if not shows(sock, select.POLLIN):
+            self.freshness.caught_up()
--- a/threadshift/emulator/front.py
+++ b/threadshift/emulator/front.py
@@ -72,7 +72,7 @@
             return
         if self.desk.due() <= self.clock.now:
             self.desk.tick(self.clock.now)
-        self.told_of(self.membership.tick(self.clock.now))
+        self.apply_listings(self.membership.tick(self.clock.now))
         # The live timer comes every tick; nothing happens here in between, so the next due one will do.
         due = max(self.clock.now + self.day.told.deployment.tick, self.desk.due())
         if self.membership.empty_since is not None:
@@ -131,17 +131,17 @@
         self.desk.take(self.clock.now, f"{self.name}-{self.serial}", call, client)
 
     def listed(self, entries: list[Entry], full: bool) -> None:
-        self.told_of(self.membership.listed(self.clock.now, self.clock.now, entries, full))
+        self.apply_listings(self.membership.listed(self.clock.now, self.clock.now, entries, full))
         for each in entries:
             if each.state is not State.GONE and each.worker not in self.links:
                 self.dial(each.worker)
 
-    def told_of(self, listings: list) -> None:
+    def apply_listings(self, listings: list) -> None:
         if listings:
             self.desk.roster(self.clock.now, listings, full=False)
 
     def drains(self, worker: str) -> None:
-        self.told_of(self.membership.draining(worker))
+        self.apply_listings(self.membership.draining(worker))
 
     def stop(self) -> None:
         if self.backlog is None:
@@ -208,7 +208,7 @@
             return
         self.links[worker] = it.started
         self.redials.setdefault(worker, Redial(self.chance)).up(self.clock.now)
-        self.told_of(self.membership.hello(self.clock.now, self.clock.now, worker, it.started))
+        self.apply_listings(self.membership.hello(self.clock.now, self.clock.now, worker, it.started))
         if it.draining:
             self.drains(worker)
 
--- a/threadshift/fastcgi/door.py
+++ b/threadshift/fastcgi/door.py
@@ -18,7 +18,7 @@
 from threadshift.desk.desk import Desk, Held
 from threadshift.fastcgi import codec, requests, room
 from threadshift.fastcgi.codec import ABORT, BEGIN, GET_VALUES, PARAMS, STDIN, Records, NotFastCGI
-from threadshift.fastcgi.postponed import PostponedRequests
+from threadshift.fastcgi.postponed import FrontEnd, PostponedRequests
 from threadshift.fastcgi.requests import LONGEST_BODY, LONGEST_PARAMS, Unfit
 from threadshift.interface import MS, SECOND, NamespaceType
 from threadshift.invoke.admission import Admission
@@ -243,11 +243,9 @@
     """The listener and all connections; the desk's port to clients."""
 
     def __init__(self, most: Callable[[], int], activations: int, types: dict[str, NamespaceType], advice: int,
-                 admission: Admission, ready: Callable[[], bool], list_is_stale: Callable[[], bool],
-                 note: Callable[..., None], chance: Callable[[], float]):
+                 admission: Admission, front_end: FrontEnd, note: Callable[..., None], chance: Callable[[], float]):
         self.most, self.activations, self.types, self.advice = most, activations, types, advice
-        self.admission, self.ready, self.note, self.chance = admission, ready, note, chance
-        self.list_is_stale = list_is_stale      # whether no request may be taken yet, for want of a current list
+        self.admission, self.front_end, self.note, self.chance = admission, front_end, note, chance
         self.looks, self.tally = Looks(), Tally()
         self.connections: set[Connection] = set()
         self.greenlets = Group()
@@ -317,7 +315,7 @@
         assert told is not None
         if told.get(b"SCRIPT_NAME") == requests.ALIVE:
             request.held = True
-            request.respond(requests.DONE if self.ready() else self.busy("not-ready"))
+            request.respond(requests.DONE if self.front_end.ready() else self.busy("not-ready"))
             return
         # First, as what is refused must cost as little as can be: at the limit all else is work for nothing.
         if not self.admission.admit(b"HTTP_X_AGAIN" in told):
@@ -327,7 +325,7 @@
         request.held, request.told, request.body = True, {}, b""
         # It may have lain unread since the event loop looked last: its client's time ran all the while.
         unread = max(unread, self.looks.unread(time.monotonic_ns()))
-        if unread < STALL and not self.list_is_stale():
+        if unread < STALL and not self.front_end.list_is_stale() and not self.front_end.update_unread():
             self.let_in(request, asked, unread)
         elif len(self.postponed) + len(self.desk.held) >= self.activations:
             self.refuse(request, FULL)
--- a/threadshift/fastcgi/postponed.py
+++ b/threadshift/fastcgi/postponed.py
@@ -2,7 +2,8 @@
 
 A request waits here, beside the reader of its connection, so that an ABORT or a close behind it is read meanwhile:
 
-- after a stall, until what came during it has been read: that its client has gone, that a worker drains;
+- after a stall, until what came during it has been read: that its client has gone;
+- while news of workers has arrived and is not read yet, however long that took: it counts as told already;
 - after the start, until the coordinator has answered: the list of the configuration is older than what counts as
   told.
 
@@ -40,12 +41,20 @@
         return self.asked.call.left - self.waited(now) <= ANSWER_MARGIN
 
 
+class FrontEnd(Protocol):
+    """What is asked of the front end before a request is taken."""
+
+    def ready(self) -> bool: ...
+    def list_is_stale(self) -> bool: ...        # no coordinator has answered since the start
+    def update_unread(self) -> bool: ...        # news of workers has arrived and is not read yet
+
+
 class Owner(Protocol):
     """What takes or refuses requests once they have waited."""
 
     closing: bool
+    front_end: FrontEnd
 
-    def list_is_stale(self) -> bool: ...
     def still_open(self, request: Any) -> bool: ...
     def unread_on(self, request: Any) -> bool: ...
     def take_postponed(self, request: Any, asked: Asked, unread: int) -> None: ...
@@ -74,7 +83,7 @@
             self.review(time.monotonic_ns())
 
     def review(self, now: int) -> None:
-        stale = self.owner.list_is_stale() and not self.owner.closing
+        stale = self.owner.front_end.list_is_stale() and not self.owner.closing
         reviewed, self.waiting = self.waiting, []
         for each in reviewed:
             if not self.owner.still_open(each.request):
@@ -87,4 +96,5 @@
                 self.owner.take_postponed(each.request, each.asked, each.waited(now))
 
     def unread_behind(self, each: Postponed, now: int) -> bool:
-        return now - each.since < LONGEST_READ and self.owner.unread_on(each.request)
+        return now - each.since < LONGEST_READ and (
+            self.owner.front_end.update_unread() or self.owner.unread_on(each.request))
--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -239,6 +239,8 @@
                 sock = connect(self.address, self.told.connect)
                 break
             except OSError as failed:
+                if self.queue:
+                    self.owner.settle()
                 now = time.monotonic_ns()
                 self.not_before = self.redial.broke(now)
                 if not problem:
@@ -289,6 +291,8 @@
         except Exception as fault:          # ours; loud, and what waits here is not left waiting
             self.note("fault", level="error", **fault_of(fault))
             problem = "a fault of ours"
+        if connection.waiting:
+            self.owner.settle()
         self.broke(connection, problem or ("closed inside a frame" if frames.torn else ""))
 
     def hear(self, connection: Connection, it: Answer) -> None:
--- a/threadshift/gateway/batching.py
+++ b/threadshift/gateway/batching.py
@@ -59,6 +59,7 @@
     deferrals: InMemory
     links: dict[str, Any]
 
+    def read_updates(self) -> None: ...
     def note(self, event: str, **fields: Any) -> None: ...
 
 
@@ -187,6 +188,7 @@
 
     def release(self, out: list[Waiting], good: bool) -> None:
         """Hands calls to the decisions; those that a cancel took back meanwhile stay."""
+        self.front.read_updates()
         now = time.monotonic_ns()
         for it in out:
             if it.over or not it.out or not good:
--- a/threadshift/gateway/fleet.py
+++ b/threadshift/gateway/fleet.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from typing import Any, Protocol
 
 import gevent
@@ -16,7 +16,10 @@
 from threadshift.invoke.admission import PERIOD, Admission
 from threadshift.invoke.looks import SETTLE, STALL, Looks
 from threadshift.log import Log
-from threadshift.roster.membership import Entry, Membership
+from threadshift.roster.membership import Entry, Membership, WorkerList
+
+
+READ_ROUND, READ_ROUNDS = MS, 10    # waits for arrived news to be read, and how many; a flood of it never ends
 
 
 class AnyLink(Protocol):
@@ -81,18 +84,33 @@
         link = self.links.get(worker)
         return Outcome.UNREACHABLE if link is None else link.ask(question)
 
+    def update_unread(self) -> bool:
+        """Whether news of the roster has arrived and is not read yet."""
+        return False
+
+    def read_updates(self) -> None:
+        """Lets the roster's news that has arrived be read before anything is sent on: it counts as told already.
+
+        The socket itself is asked, however short the stall: no time of ours tells what lies there."""
+        for _ in range(READ_ROUNDS):
+            if not self.update_unread():
+                return
+            gevent.sleep(READ_ROUND / SECOND)
+
     def settle(self) -> None:
-        """After a standstill the roster's word is read before what answers bring: it may have lain beside them.
+        """Called before anything that may lead to a send: an answer, a break, a connection that came up.
 
-        Found by a hunt: an answer read first brought a load order to a worker long told of as draining. Once a second
-        at the most, as a loop at its limit looks like one that stood still; but after each standstill by which the
-        grace may have passed, beside which the wait is nothing."""
+        After a stall, what workers said themselves and that clients are gone is read first, too: it may lie beside
+        what came now. (Found by a hunt: an answer read first brought a load order to a worker long told of as
+        draining.) Once a second at the most, as a loop at its limit looks like one that stalled; but after each stall
+        by which a good part of the grace may have passed, beside which the wait is nothing."""
         now = time.monotonic_ns()
         unread = self.looks.unread(now)
-        if unread >= STALL and (now - self.settled >= SECOND or unread >= self.membership.grace // 2):
+        if unread >= STALL and now - self.settled >= SECOND or unread >= max(SETTLE, self.membership.grace // 2):
             self.settled = now
         if now - self.settled < SETTLE:
             gevent.sleep(SETTLE / SECOND)
+        self.read_updates()
 
     def beat(self, now: int, late: int) -> int:
         """What one tick of the timer brings, whatever the protocols; the time after it, as it may wait a moment."""
@@ -103,12 +121,16 @@
             # Time alone may send again: not before the roster's word that came meanwhile is read.
             gevent.sleep(SETTLE / SECOND)
             now = time.monotonic_ns()
+        due = self.desk.due() <= now
+        if due and self.update_unread():
+            self.read_updates()
+            now = time.monotonic_ns()
         if now - self.measured >= PERIOD:
             self.measured = now
             self.admission.measured(now, late)
-        if self.desk.due() <= now:
+        if due:
             self.desk.tick(now)
-        self.told_of(self.membership.tick(now))
+        self.change(self.membership.tick(now))
         if now - self.looked >= SECOND:
             self.looked = now
             self.let_go_of_workers()
@@ -118,28 +140,46 @@
     # What the roster tells.
 
     def listed(self, entries: Collection[Entry], full: bool) -> None:
+        """News that counts as told as it is read."""
+        self.apply_list(WorkerList(list(entries), full), time.monotonic_ns())
+
+    def apply_list(self, workers: WorkerList, told_since: int) -> None:
+        """All that was told at once is known before any link is made or ended: what a link's end lets be sent again
+        must not go to a worker that the same news says drains."""
         now = self.roster_said = time.monotonic_ns()
         self.roster_lost = False
         before = self.membership.empty_since
-        listings = self.membership.listed(now, time.time_ns(), entries, full)
+        listings = self.membership.apply(now, time.time_ns(), workers, told_since)
         if self.membership.empty_since is not None and before is None:
             self.note("roster-empty", level="warning", held_ms=self.membership.grace // 2 // MS)
-        for each in entries:
-            self.dial(each)
-        self.told_of(listings)
-
-    def dial(self, it: Entry) -> None:
-        """A link to each listed worker, at the address that the roster has now."""
-        link = self.links.get(it.worker)
-        if link is not None and link.address != it.address:
-            self.links.pop(it.worker).stop()
-            link = None
-        if link is None and it.state is not State.GONE:
-            self.links[it.worker] = self.link(it)
-
-    def told_of(self, listings: list[Listing]) -> None:
+        self.apply_listings(listings)
+        for link in self.relink(workers.entries):
+            link.stop()
+        self.take_back(listings)
+
+    def relink(self, entries: Iterable[Entry]) -> list[AnyLink]:
+        """A link to each listed worker, at the address that the roster has now; the links that these replace."""
+        replaced = []
+        for it in entries:
+            link = self.links.get(it.worker)
+            if link is not None and link.address != it.address:
+                replaced.append(self.links.pop(it.worker))
+            if it.worker not in self.links and it.state is not State.GONE:
+                self.links[it.worker] = self.link(it)
+        return replaced
+
+    def change(self, listings: list[Listing]) -> None:
+        """Workers changed without a link to be made or replaced."""
+        self.apply_listings(listings)
+        self.take_back(listings)
+
+    def apply_listings(self, listings: list[Listing]) -> None:
+        """Hands what changed to the decisions."""
         if listings:
             self.desk.roster(time.monotonic_ns(), listings, full=False)
+
+    def take_back(self, listings: list[Listing]) -> None:
+        """Ends what waits to leave for workers to which nothing more may go."""
         for each in listings:
             if each.state is not State.READY and each.worker in self.links:
                 self.links[each.worker].take_back()
--- a/threadshift/gateway/front_end.py
+++ b/threadshift/gateway/front_end.py
@@ -72,7 +72,7 @@
         self.watch = Watch()
         self.api = Invoke(told, self.name, f"http://{self.own}" if self.own else "", self.deferrals,
                           self.admission, log, self.status, weight)
-        self.looks = self.api.looks
+        self.looks, self.api.read_updates = self.api.looks, self.read_updates
         dispatcher = Dispatcher(chance.getrandbits(63), told.deployment, now)
         earlier.assume(dispatcher, told.deployment, now)
         self.desk = self.api.desk = Desk(dispatcher, self, self.api, bounds.load_order)
@@ -81,6 +81,7 @@
         self.operators = Group()
         self.full = cycle(FULL)
         self.greenlets = Group()
+        self.feed: Feed | None = None       # where the list of workers comes over the network
         self.ending = False
         self.recent = Recent({each.name: each.utility for each in told.deployment.types})
         self.api.recent = self.recent
@@ -139,17 +140,20 @@
         started = hello.get("started", 0)
         if not isinstance(started, int) or started < 0:
             return "'started' is not a time"
-        self.told_of(self.membership.hello(time.monotonic_ns(), time.time_ns(), worker, started))
+        self.change(self.membership.hello(time.monotonic_ns(), time.time_ns(), worker, started))
         self.note("link-up", worker=worker, level="debug")
         if hello.get("draining"):
             self.draining(worker)
         return ""
 
+    def update_unread(self) -> bool:
+        return self.feed is not None and self.feed.unread()
+
     def draining(self, worker: str) -> None:
         listings = self.membership.draining(worker)
         if listings:
             self.note("worker-drains", worker=worker)
-        self.told_of(listings)
+        self.change(listings)
 
     def link(self, it: Entry) -> Link:
         return Link(it.worker, it.address, self.told.bounds, self.name, self.told.deployment.zone, self, self.chance,
@@ -177,7 +181,8 @@
             self.listeners.append(sock)
             self.greenlets.spawn(self.accept, sock)
         if isinstance(self.told.roster_at, Address):
-            self.greenlets.spawn(Feed(self.told.roster_at, self.name, self.told.bounds, self, self.chance).run)
+            self.feed = Feed(self.told.roster_at, self.name, self.told.bounds, self, self.chance)
+            self.greenlets.spawn(self.feed.run)
         else:
             self.greenlets.spawn(WatchedFile(str(self.told.roster_at), self).run)
         if self.told.admin is not None:
--- a/threadshift/invoke/api.py
+++ b/threadshift/invoke/api.py
@@ -80,6 +80,7 @@
         self.overloaded, self.pauses = cycle(OVERLOADED), cycle(PAUSE_OF)
         self.status_at, self.status_told = 0, b""
         self.looks = Looks()
+        self.read_updates: Callable[[], None] = lambda: None    # lets news of the roster that has arrived be read
         self.desk: Desk
         self.batching: Batches | None = None
         self.recent: Counts
@@ -174,6 +175,7 @@
             # hunt: calls read first after a standstill went to workers that had long been told of as draining.
             gevent.sleep(SETTLE / SECOND)
             unread += SETTLE
+        self.read_updates()
         call = call._replace(left=call.left - unread)
         if call.left <= 0:
             raise self.turned_away(503, "too-late", "its time left was up before it could be read", tenant)
--- a/threadshift/links/link.py
+++ b/threadshift/links/link.py
@@ -190,6 +190,8 @@
                 if self.sock is not None:
                     self.sock.close()
                     self.sock = None
+            if self.waiting:
+                self.owner.settle()
             if not self.stopped:
                 self.broke(problem)
 
--- a/threadshift/node/front.py
+++ b/threadshift/node/front.py
@@ -15,8 +15,8 @@
 
 from threadshift.choice import Dispatcher
 from threadshift.conf.settings import Malformed
-from threadshift.coordinator.events import Word
-from threadshift.coordinator.stream import Following
+from threadshift.coordinator.events import ListUpdate
+from threadshift.coordinator.stream import CoordinatorStream
 from threadshift.desk import earlier
 from threadshift.desk.desk import Desk
 from threadshift.fastcgi.door import Door
@@ -52,13 +52,13 @@
         self.admission = Admission(min(each.target_latency for each in types.values()))
         self.descriptors = Descriptors(told.sockets)
         self.door = Door(lambda: self.descriptors.clients(self.dialled), told.activations, types,
-                         told.deployment.longest_advice, self.admission, self.ready, self.list_is_stale, self.note,
-                         self.chance)
+                         told.deployment.longest_advice, self.admission, self, self.note, self.chance)
         self.looks = self.door.looks
         dispatcher = Dispatcher(chance.getrandbits(63), told.deployment, now)
         earlier.assume(dispatcher, told.deployment, now)
         self.desk = self.door.desk = Desk(dispatcher, self, self.door, told.load_order)
-        self.following = Following(told.coordinator, self.heard, self.lost, self.note, self.chance)
+        self.coordinator = CoordinatorStream(told.coordinator, self.on_list_update, self.on_coordinator_lost,
+                                             self.note, self.chance)
         self.leaving = Leaving(max(each.action_timeout for each in types.values()))
         self.greenlets = Group()
         self.listening: socket.socket | None = None
@@ -89,11 +89,15 @@
         idle[goes].end(goes)
         return True
 
-    def heard(self, word: Word) -> None:
+    def update_unread(self) -> bool:
+        return self.coordinator.unread()
+
+    def on_list_update(self, update: ListUpdate) -> None:
         """An event of the coordinator."""
-        self.listed(word.entries, word.full)
+        now = time.monotonic_ns()
+        self.apply_list(update.workers, self.coordinator.freshness.told_since(now, self.looks.unread(now)))
 
-    def lost(self) -> None:
+    def on_coordinator_lost(self) -> None:
         self.roster_lost = True
 
     def list_is_stale(self) -> bool:
@@ -101,7 +105,7 @@
 
         A worker that drained since then counts as told of all the same, so nothing is sent before the coordinator
         has answered; but not for ever, or no front end would serve while there is none."""
-        return not self.following.caught_up and time.monotonic_ns() < self.ready_by
+        return not self.coordinator.freshness.answered and time.monotonic_ns() < self.ready_by
 
     def ready(self) -> bool:
         # A list that is late or empty is waited for, not for ever: refused for it, a whole fleet would never start.
@@ -125,15 +129,10 @@
             self.note("reload-refused", level="error", problem=str(problem))
             return
         self.told = self.told._replace(coordinator=told.coordinator)
-        self.take_known(told)
-        self.following.move(told.coordinator)
+        self.coordinator.apply_known(told.known)
+        self.coordinator.move(told.coordinator)
         self.note("reloaded", coordinator=str(told.coordinator))
 
-    def take_known(self, told: Placement) -> None:
-        for event in told.known:
-            self.following.known("", event)
-        self.following.numbers.last = max(self.following.numbers.last, told.known_last)
-
     # Running.
 
     def run(self) -> None:
@@ -141,8 +140,8 @@
         sock = listener(self.told.listen, shared=False)
         self.door.looks.start()
         self.listening, self.ready_by = sock, time.monotonic_ns() + LIST_WAIT
-        self.greenlets.spawn(self.following.run)    # before the links dial: calls wait for the coordinator's answer
-        self.take_known(self.told)
+        self.greenlets.spawn(self.coordinator.run)    # before the links dial: calls wait for the coordinator's answer
+        self.coordinator.apply_known(self.told.known)
         self.greenlets.spawn(self.door.accept, sock)
         self.note("started", listen=str(self.told.listen), pid=os.getpid(), workers=len(self.links))
         self.keep_time(lambda: self.stage() not in (Stage.STAYING, Stage.SERVING))
--- a/threadshift/node/placement.py
+++ b/threadshift/node/placement.py
@@ -32,7 +32,6 @@
     seed: int
     coordinator: Address
     known: tuple[Any, ...]               # events so far, as the coordinator would send them
-    known_last: int                      # their last number
     deployment: Deployment
     activations: int                     # calls under way
     streams: int                         # sends on one connection to a worker
@@ -93,11 +92,10 @@
     if not memory >= LEAST_MEMORY or sockets < LEAST_SOCKETS or not cores > 0:
         raise top.wrong(f"has limits of {cores:g} cores, {memory:g} MB and {sockets} sockets: too little to run")
     size = int(memory) << 20
-    last = known.get("index", 0)
     return Placement(
         top.read("name", values.name), top.read("listen", values.address),
         top.read("seed", lambda text: int(text, 16)), top.read("coordinator", values.address),
-        tuple(updates or ()), last if isinstance(last, int) else 0,
+        tuple(updates or ()),
         deployed._replace(tick=max(deployed.tick, TICK)),
         max(16, size // CALLS_PART // LONGEST_BODY // 2), fields.whole("limits.streamsPerConn", 1),
         fields.ns("limits.connectTimeout", 250 * MS), fields.ns("limits.connIdle", 30 * SECOND),
--- a/threadshift/roster/membership.py
+++ b/threadshift/roster/membership.py
@@ -6,15 +6,16 @@
 - A worker's own word that it drains holds until it starts anew, whatever the roster says meanwhile.
 - The later start of the two counts. Starts are told in wall-clock time; each is turned into this process's clock
   once, so that a step of the wall clock never looks like a restart.
-- A worker that a full list lacks is gone.
-- A full list that is empty, while workers were listed, is most likely a fault of the roster. It is believed once it
-  has stood for half the drain grace: it is still word that all are gone, and rule 3 counts from that word.
+- A worker that a full list lacks is gone. One whose entry is there and cannot be read stays as it was, unless it can
+  be read that it drains or is gone.
+- A full list that is empty, while workers were listed, is most likely a fault of the roster. It is believed half the
+  drain grace after it may have counted as told: it is still word that all are gone, and rule 3 counts from then.
 """
 from __future__ import annotations
 
 from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 
 from threadshift.errors import Cause
 from threadshift.conf import values
@@ -45,6 +46,23 @@
     started: int = 0             # wall clock ns; 0: not told
 
 
+class WorkerList(NamedTuple):
+    """What was told of workers at once: all there are, or those that changed."""
+
+    entries: list[Entry]
+    full: bool                   # the whole list
+    ending: Mapping[str, State] = {}             # draining or gone, by entries of which no more can be read
+    unreadable: frozenset[str] = frozenset()     # listed by entries of which not even that can be read
+
+    @property
+    def empty(self) -> bool:
+        return not (self.entries or self.ending or self.unreadable)
+
+    def names(self) -> set[str]:
+        """All workers that it names."""
+        return {each.worker for each in self.entries} | set(self.ending) | self.unreadable
+
+
 @dataclass(slots=True)
 class Known:
     """One worker as believed."""
@@ -78,32 +96,42 @@
     grace: int                   # ns; the drain grace
     same_start: int = SAME_START     # ns; 0 where one clock alone tells of starts
     known: dict[str, Known] = field(default_factory=dict)
-    empty_since: int | None = None
+    empty_since: int | None = None   # since when an empty list that is not believed yet may count as told
+    lacking: set[str] = field(default_factory=set)   # workers that it lacked, and that were not told of since
 
     def listed(self, now: int, wall: int, entries: Iterable[Entry], full: bool) -> list[Listing]:
-        """News from the roster; the listings that changed by it, gone ones included."""
-        entries = list(entries)
-        if full and not entries and any(self.state(each) is State.READY for each in self.known.values()):
-            self.empty_since = now if self.empty_since is None else self.empty_since
+        """News from the roster that counts as told now; see apply()."""
+        return self.apply(now, wall, WorkerList(list(entries), full), now)
+
+    def apply(self, now: int, wall: int, workers: WorkerList, told_since: int) -> list[Listing]:
+        """News from the roster, which may count as told since `told_since`; the listings that changed by it, gone
+        ones included."""
+        present = workers.names()
+        if workers.full and workers.empty and any(self.state(each) is State.READY for each in self.known.values()):
+            if self.empty_since is None:
+                self.empty_since, self.lacking = told_since, self.not_gone()
             return self.tick(now)
-        if full:
+        if workers.full:
             self.empty_since = None
-        changed = [self.take(now, wall, each) for each in entries]
-        if full:
-            present = {each.worker for each in entries}
-            changed += [self.gone(name) for name, one in self.known.items()
-                        if name not in present and one.entry.state is not State.GONE]
+        self.lacking -= present
+        changed = [self.take(now, wall, each) for each in workers.entries]
+        changed += [self.ends(name, state) for name, state in workers.ending.items() if name in self.known]
+        if workers.full:
+            changed += [self.ends(name, State.GONE) for name in sorted(self.not_gone() - present)]
         return changed
 
+    def not_gone(self) -> set[str]:
+        return {name for name, one in self.known.items() if one.entry.state is not State.GONE}
+
     def take(self, now: int, wall: int, told: Entry) -> Listing:
         one = self.known.setdefault(told.worker, Known(told))
         one.entry = told
         self.start(one, now, wall, told.started)
         return self.listing(one)
 
-    def gone(self, name: str) -> Listing:
+    def ends(self, name: str, state: State) -> Listing:
         one = self.known[name]
-        one.entry.state = State.GONE
+        one.entry.state = state
         return self.listing(one)
 
     def start(self, one: Known, now: int, wall: int, started: int) -> bool:
@@ -143,7 +171,7 @@
         if self.empty_since is None or now - self.empty_since < self.grace // 2:
             return []
         self.empty_since = None
-        return [self.gone(name) for name, one in self.known.items() if one.entry.state is not State.GONE]
+        return [self.ends(name, State.GONE) for name in sorted(self.lacking & self.not_gone())]
 
     @staticmethod
     def state(one: Known) -> State:
--- a/threadshift/roster/sources.py
+++ b/threadshift/roster/sources.py
@@ -5,11 +5,13 @@
 from __future__ import annotations
 
 import os
+import select
 import time
 from collections.abc import Callable
 from typing import Any, Protocol
 
 import gevent
+from gevent import socket
 
 from threadshift.conf import values
 from threadshift.conf.installation import Bounds
@@ -17,7 +19,7 @@
 from threadshift.conf.values import Address
 from threadshift.interface import MS, SECOND, State
 from threadshift.links.codec import VERSION, Frames, Refused, encode
-from threadshift.links.sockets import READ, connect
+from threadshift.links.sockets import READ, connect, shows
 from threadshift.links.redial import Redial
 from threadshift.roster.membership import MOST_WORKERS, Entry, Unbelievable, entry
 
@@ -38,6 +40,11 @@
         self.address, self.name, self.bounds, self.listener = address, name, bounds, listener
         self.redial = Redial(chance)
         self.generation: int | None = None
+        self.sock: socket.socket | None = None
+
+    def unread(self) -> bool:
+        """Whether something of the feed has arrived and is not read yet."""
+        return self.sock is not None and shows(self.sock, select.POLLIN)
 
     def run(self) -> None:
         while True:
@@ -51,7 +58,7 @@
         """One connection until it ends; why it ended."""
         sock = None
         try:
-            sock = connect(self.address, self.bounds.connect)
+            self.sock = sock = connect(self.address, self.bounds.connect)
             sock.sendall(encode("hello", version=VERSION, name=self.name))
             sock.settimeout(QUIET / SECOND)
             frames = Frames(self.bounds.frame)
@@ -62,6 +69,7 @@
         except (OSError, Refused, Unbelievable) as failed:
             return str(failed) or type(failed).__name__
         finally:
+            self.sock = None
             if sock is not None:
                 sock.close()
 
