--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -21,13 +21,13 @@
 
 from tests.live import free_port, until
 from tests.platform import (
-    SETTINGS, Client, Coordinator, Platform, Worker, begin, configuration, event, instance, params, request)
+    SETTINGS, Client, Coordinator, Platform, Worker, begin, configuration, event, instance, params, request, serve)
 from tests.test_desk import ask, desk
 from threadshift.conf.values import Address
 from threadshift.coordinator import freshness
 from threadshift.fastcgi import room
 from threadshift.fastcgi.codec import STDIN, record, stream
-from threadshift.frames import link
+from threadshift.frames import link, pool
 from threadshift.frames.codec import FROM_WORKER, INVOKE, OK, encode
 from threadshift.interface import MS, SECOND, Effect, Outcome
 from threadshift.links.sockets import Outgoing
@@ -80,6 +80,12 @@
         yield come
 
 
+def attempt(id_, time_left, body=b""):
+    """A request as links know it."""
+    call = mock.Mock(type="check", function="00000000000000f1", mark="", body=body)
+    return mock.Mock(ivk=id_, call=call, time_left=time_left)
+
+
 class Shutdown(unittest.TestCase):
     def test_a_call_whose_time_runs_past_the_end_is_answered_before_it(self):
         # Found on a day with restarts: 9 calls of 30 front ends ended with their connections, unanswered.
@@ -321,6 +327,48 @@
                 self.assertEqual(client.answer()[0], 200)
             self.assertLess(int(it.workers[0].codes(INVOKE)[0].fields["wait"]), 650)
 
+    def test_one_that_waited_for_a_full_socket_does_so_too(self):
+        reads, arrived = Event(), []
+
+        class Slow(Worker):
+            def converse(self, sock):
+                reads.wait(5)
+                super().converse(sock)
+
+        def noted(worker, sock, it):
+            if it.code == INVOKE:
+                arrived.append((it.id, int(it.fields["wait"]), time.monotonic_ns()))
+            serve(worker, sock, it)
+        with mock.patch("tests.platform.Worker", Slow):
+            it = Platform([noted])
+        it.workers[0].sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        with mock.patch.object(pool, "MOST", 1), it:
+            only = it.node.links["s-0"]
+            only.connections[0].sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            deadline = time.monotonic_ns() + 900 * MS
+            for number in (1, 2, 3, 4):
+                held = attempt(f"{number:016x}", lambda now: deadline - now, bytes(16 << 10))
+                self.assertIsNone(only.invoke(held, 0, held.time_left(time.monotonic_ns())))
+            self.assertGreaterEqual(len(only.connections[0].outbox.unwritten), 2)
+            until(lambda: time.monotonic_ns() > deadline - 500 * MS)
+            reads.set()
+            until(lambda: len(arrived) == 4)
+            for _, wait, at in arrived[2:]:     # those before had begun to be written
+                self.assertLessEqual(wait, (deadline - at) // MS + 150)
+
+    def test_and_one_that_goes_over_another_connection_after_a_break(self):
+        with Platform() as it:
+            only = it.node.links["s-0"]
+            connection = only.connections[0]
+            left = [900 * MS, 300 * MS]
+            held = attempt(A, lambda now: left[0])
+            with mock.patch.object(connection, "write"):
+                only.invoke(held, 0, left.pop(0))
+            until(lambda: len(only.connections) == 2)
+            only.broke(connection, "reset")
+            until(lambda: it.workers[0].codes(INVOKE))
+            self.assertEqual(it.workers[0].codes(INVOKE)[0].fields["wait"], "300")
+
     def test_a_fault_of_ours_under_an_answer_leaves_nothing_waiting(self):
         with Platform() as it:
             def fails(*words, **facts):
@@ -401,15 +449,25 @@
             self.assertAlmostEqual(second - first, 1200 * MS, delta=100 * MS)
             self.assertEqual(start(4, now - 300), second)
 
-    def test_a_second_standstill_within_a_second_is_waited_after_where_a_grace_may_have_passed(self):
+    def test_a_second_stall_within_a_second_is_waited_after(self):
+        # A cancel that lay unread over it is over 0.1 s old when the next send falls due.
         with Platform() as it:
-            for seconds, waited in ((0.15, False), (0.55, True)):       # the grace of the tests' settings is 1 s
+            for seconds, waited in ((0.02, False), (0.07, True), (0.15, True), (0.55, True)):
                 it.node.settled = before = time.monotonic_ns() - 300 * MS
                 stand_still(seconds)
                 it.node.settle()
-                self.assertEqual(it.node.settled > before, waited)
+                self.assertEqual(it.node.settled > before, waited, seconds)
                 gevent.sleep(0.02)              # the loop comes round
 
+    def test_with_a_short_grace_so_is_a_shorter_one(self):
+        told = settings()
+        told["rules"]["drainGrace"] = 0.0
+        with Platform(settings=told) as it:
+            it.node.settled = before = time.monotonic_ns() - 300 * MS
+            stand_still(0.015)
+            it.node.settle()
+            self.assertGreater(it.node.settled, before)
+
     def test_a_list_that_stays_empty_does_not_keep_it_from_being_ready(self):
         with mock.patch("threadshift.node.front.LIST_WAIT", 100 * MS), Platform([]) as it:
             def alive():
@@ -439,6 +497,22 @@
             for each in [usual, *silent]:
                 each.close()
 
+    def test_where_there_is_no_room_what_came_with_the_connection_is_refused_in_words(self):
+        with Platform([silent], limits={"cores": 1.0, "memory_mb": 96, "sockets": 32}) as it:
+            busy = [it.client() for _ in range(it.node.door.most())]
+            for n, each in enumerate(busy):
+                each.ask(id_=f"{n:016x}", left="900")
+            until(lambda: it.node.desk.owed == len(busy))
+            late = native(it.address)
+            late.sendall(request(1, A) + request(2, B))
+            until(lambda: it.node.door.tally.totals().get("too-many-connections"))
+            late.settimeout(1)
+            got = b""
+            while more := late.recv(65536):
+                got += more
+            self.assertEqual(got.count(b"Status: 503"), 2)
+            late.close()
+
     def test_where_all_are_busy_one_wait_in_vain_is_enough(self):
         with Platform([silent], limits={"cores": 1.0, "memory_mb": 96, "sockets": 32}) as it:
             busy = [it.client() for _ in range(it.node.door.most())]
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -18,7 +18,7 @@
     """Front ends of unequal traffic over workers that answer all alike; `cold` of these start anew at a time."""
 
     def __init__(self, front_ends, seed, told=0, kinds=((0.76, 94), (0.24, 38)), workers=20, cold=8, at=2.0,
-                 quiet=0.0, busy=0.45, until=4.5):
+                 quiet=0.0, busy=0.45, until=4.5, late=0, restarted=False):
         self.chance, self.kinds = random.Random(seed), kinds
         self.mean = sum(part * work for part, work in kinds)
         self.capacity = CORES * 1000 / self.mean
@@ -31,7 +31,8 @@
         self.names = [f"w{n}" for n in range(workers)]
         self.begin = 1000 * SECOND
         self.starts = dict.fromkeys(self.names[:cold], self.begin + int(at * SECOND))
-        self.fronts = [Dispatcher(self.chance.getrandbits(60), settings, self.begin) for _ in range(front_ends)]
+        self.settings, self.late, self.restarted = settings, late, restarted
+        self.fronts = [self.front_end(self.begin) for _ in range(front_ends)]
         for each in self.fronts:
             each.roster(self.begin, [ready(name) for name in self.names], True)
         self.shares = [1 / (1 + n % 20) for n in range(front_ends)]
@@ -41,6 +42,9 @@
         self.sent = {name: [] for name in self.names}
         self.copies = {name: set() for name in self.names}
 
+    def front_end(self, now):
+        return Dispatcher(self.chance.getrandbits(60), self.settings, now)
+
     def at(self, when, act, *words):
         heapq.heappush(self.heap, (when, self.serial(), act, words))
 
@@ -55,8 +59,16 @@
     def start(self, now):
         for name in self.starts:
             self.copies[name] = set()
-        for front in self.fronts:
-            self.carry(front, front.roster(now, [ready(name, since=now) for name in self.starts], False), now)
+        if self.restarted:      # all front ends, too: they know nothing but the list
+            self.fronts = [self.front_end(now) for _ in self.fronts]
+            for front in self.fronts:
+                front.roster(now, [ready(name) for name in self.names], True)
+        for number, front in enumerate(self.fronts):
+            self.at(now + (self.late if number % 4 == 3 else 0), self.hear, front, now)
+
+    def hear(self, now, front, since):
+        """A front end hears that the workers have started: one in four late, where any is."""
+        self.carry(front, front.roster(now, [ready(name, since=since) for name in self.starts], False), now)
 
     def call(self, now):
         self.at(now + int(self.chance.expovariate(self.rate) * SECOND), self.call)
@@ -113,9 +125,10 @@
 class Ramp(unittest.TestCase):
     def test_the_sum_over_front_ends_stays_under_what_a_started_worker_may_be_sent(self):
         apart = ((0.5, 190), (0.5, 20))         # types whose work differs by far
-        for front_ends in (3, 20, 30, 200):
+        for front_ends in (1, 3, 20, 30, 200):
             for facts in ({}, {"cold": 20, "at": 0.0}, {"kinds": apart, "cold": 20, "at": 0.0},
-                          {"quiet": 2.0, "at": 0.5}, {"busy": 0.9, "cold": 14}):
+                          {"quiet": 2.0, "at": 0.5}, {"busy": 0.9, "cold": 14}, {"late": 300 * MS},
+                          {"restarted": True}, {"restarted": True, "cold": 20, "late": 300 * MS, "busy": 0.9}):
                 fleet = Fleet(front_ends, seed=front_ends, **facts).play()
                 self.assertLess(fleet.nearest(), 1.0, (front_ends, facts))
                 self.assertGreater(sum(at >= start for name, start in fleet.starts.items()
--- a/threadshift/fastcgi/door.py
+++ b/threadshift/fastcgi/door.py
@@ -41,6 +41,7 @@
 
 MANY = requests.busy("too many requests on one connection", 0)
 CLOSING, LATE, FULL, OVERLOADED, FAULT = "closing", "too-late", "too-many-activations", "overloaded", "fault"
+CROWDED = "too-many-connections"
 
 
 class Request:
@@ -258,11 +259,19 @@
         for client in arriving(sock, self.note):
             self.wait_for_room()
             if len(self.connections) >= self.most():
-                self.tally.note(time.monotonic_ns(), "too-many-connections")
-                client.close()
+                self.tally.note(time.monotonic_ns(), CROWDED)
+                self.turn_away(client)
                 continue
             self.welcome(client)
 
+    def turn_away(self, client: socket.socket) -> None:
+        """Closes a connection for which there is no room; requests that lie on it already are refused in words."""
+        with suppress(OSError, NotFastCGI):
+            client.settimeout(0)
+            begun = [number for kind, number, _ in Records().feed(client.recv(READ)) if kind == BEGIN]
+            client.send(b"".join(codec.response(number, self.busy(CROWDED)) for number in begun[:MOST_OPEN]))
+        client.close()
+
     def wait_for_room(self) -> None:
         """Ends others until one more has room: workers may have come meanwhile, and clients leave room for them.
 
--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -73,6 +73,14 @@
         self.heard = time.monotonic_ns()
         self.reader: gevent.Greenlet | None = None
 
+    def refresh(self) -> None:
+        """Requests that waited for the socket say how much time is left now, not when they were queued."""
+        now = time.monotonic_ns()
+        for id_ in self.outbox.unwritten:
+            what = self.waiting.get(id_)
+            if isinstance(what, tuple):
+                self.outbox.replace(id_, request(id_, what[0].call, what[0].time_left(now)))
+
 
 class Link:
     """All connections to one worker."""
@@ -342,7 +350,11 @@
         for id_, what in ended:
             if id_ not in frames:
                 self.finish(what, now, Outcome.RESET)
-            elif (outcome := self.place(id_, what, frames[id_])) is not None:
+                continue
+            frame = frames[id_]
+            if isinstance(what, tuple):
+                frame = request(id_, what[0].call, what[0].time_left(now))
+            if (outcome := self.place(id_, what, frame)) is not None:
                 self.finish(what, now, outcome)
 
     def end(self, connection: Connection) -> None:
--- a/threadshift/gateway/fleet.py
+++ b/threadshift/gateway/fleet.py
@@ -102,11 +102,9 @@
 
         After a stall, what workers said themselves and that clients are gone is read first, too: it may lie beside
         what came now. (Found by a hunt: an answer read first brought a load order to a worker long told of as
-        draining.) Once a second at the most, as a loop at its limit looks like one that stalled; but after each stall
-        by which a good part of the grace may have passed, beside which the wait is nothing."""
+        draining.) A loop at its limit looks like one that stalled, and loses a fifth of its time by this at most."""
         now = time.monotonic_ns()
-        unread = self.looks.unread(now)
-        if unread >= STALL and now - self.settled >= SECOND or unread >= max(SETTLE, self.membership.grace // 2):
+        if self.looks.unread(now) >= min(STALL, max(SETTLE, self.membership.grace // 2)):
             self.settled = now
         if now - self.settled < SETTLE:
             gevent.sleep(SETTLE / SECOND)
--- a/threadshift/invoke/looks.py
+++ b/threadshift/invoke/looks.py
@@ -12,7 +12,8 @@
 
 from threadshift.interface import MS
 
-STALL = 100 * MS           # a timer so late, or a call unread so long, means that the process stood still
+STALL = 50 * MS            # a timer so late, or a call unread so long, means that the process stood still: half of
+                           # the time after which nothing may be sent for a client that has gone
 STOOD = 10 * MS            # in one wait for something to read: the timer bounds it to half of that, so we stood still
 WAITED = MS // 4           # between its last work and a look: the loop stood idle, what it found came just then
 SETTLE = 10 * MS           # after that, until all that came meanwhile is read: several rounds of the loop
--- a/threadshift/links/outbox.py
+++ b/threadshift/links/outbox.py
@@ -41,6 +41,12 @@
         entry[1] = b""      # its place is passed over; moving the rest would cost more
         return True
 
+    def replace(self, key: Any, frame: bytes) -> None:
+        """Another frame in the place of one none of whose bytes are written."""
+        entry = self.unwritten[key]
+        self.size += len(frame) - len(entry[1])
+        entry[1] = frame
+
     def chunk(self) -> bytes:
         """The next bytes to write, at most CHUNK and at least one frame's rest; empty when none wait."""
         parts, size = [], 0
--- a/threadshift/links/sockets.py
+++ b/threadshift/links/sockets.py
@@ -65,12 +65,15 @@
         yield client
 
 
-def write_out(sock: socket.socket, outbox: Outbox, limit: int) -> None:
+def write_out(sock: socket.socket, outbox: Outbox, limit: int, refresh: Callable[[], None] = lambda: None) -> None:
     """Writes what waits in the outbox. Raises OSError where the peer takes no byte for limit ns.
 
     Each chunk is cut when it can be written, not before: what is taken back while we wait must not leave after all,
-    and what did leave would be counted against frames that it is not of."""
-    while chunk := outbox.chunk():
+    and what did leave would be counted against frames that it is not of. refresh() is called before each is cut."""
+    while outbox.waiting:
+        refresh()
+        if not (chunk := outbox.chunk()):
+            break
         try:
             outbox.wrote(sock.send(chunk, 0, 0.0), time.monotonic_ns())
         except BlockingIOError:
@@ -103,13 +106,16 @@
 
     def write_rest(self) -> None:
         try:
-            write_out(self.sock, self.outbox, self.write_limit)
+            write_out(self.sock, self.outbox, self.write_limit, self.refresh)
             self.written()
         except OSError:
             self.shut()
         finally:
             self.writer = None
 
+    def refresh(self) -> None:
+        """What waits is about to be written after the socket was full."""
+
     def written(self) -> None:
         """All that waited is written."""
 
