--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,3 +1,4 @@
+import time
 import unittest
 
 import gevent
@@ -6,7 +7,7 @@
 from hypothesis import strategies as st
 
 from tests.live import Live, Scripted, until
-from threadshift.interface import SECOND
+from threadshift.interface import MS, SECOND
 from threadshift.links.codec import LENGTH, VERSION, Frames, Refused, encode
 from threadshift.links.outbox import Outbox
 from threadshift.links.redial import FIRST, MOST, STEADY, Redial
@@ -280,6 +281,31 @@
             self.assertEqual(later.count("invoke"), len(outcomes) - 1)
             self.assertEqual(reply.headers["final"], "rejected" if "draining" in news else "aborted")
 
+    def test_what_waited_for_the_link_tells_the_time_that_is_left_then(self):
+        begun, seen = [], []
+
+        def script(worker, sock, frames):
+            until(lambda: live.front.links["w0"].outbox.unwritten)
+            until(lambda: time.monotonic_ns() - begun[0] > 300 * MS)
+            sock.sendall(encode("hello", version=VERSION, name="w0", started=SECOND))
+            for frame in frames:
+                if frame["kind"] == "invoke":
+                    seen.append((frame["left"], time.monotonic_ns()))
+                    sock.sendall(encode("result", id=frame["id"], **RESULT))
+        live = Live(workers=0, bounds="connect 3s")
+        worker = Scripted("w0", script, hello=False)
+        live.extra.append(worker)
+        live.list("w0", worker.address)
+        running = gevent.spawn(live.front.run)
+        live.running = running
+        until(lambda: live.front.links)
+        until(lambda: live.front.desk.dispatcher.fleet)
+        begun.append(time.monotonic_ns())
+        self.assertEqual(live.call("submit-x", time_left="900").status, 200)
+        left, at = seen[0]
+        self.assertLessEqual(left, begun[0] + 900 * MS - at + 150 * MS)
+        live.__exit__()
+
     def test_what_a_full_socket_holds_up_is_taken_back_when_the_worker_drains(self):
         """Written once the worker read again, it would have been new to it past the grace (rule 3)."""
         live = Live(workers=0, bounds="worker-buffer 32M\nwrite 3s\nbody 4M\nframe 8M\n")
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -369,6 +369,18 @@
             until(lambda: it.workers[0].codes(INVOKE))
             self.assertEqual(it.workers[0].codes(INVOKE)[0].fields["wait"], "300")
 
+    def test_a_connection_that_broke_carries_nothing_new_while_unread_news_is_waited_for(self):
+        with Platform([silent]) as it:
+            client, only, carried = it.client(), it.node.links["s-0"], []
+            client.ask(type_="submit")
+            until(lambda: it.workers[0].codes(INVOKE))
+            broken = next(each for each in only.connections if each.waiting)
+            it.node.settle = lambda: carried.append(pool.fit(only.connections, b"another!", 32) is broken)
+            for sock in it.workers[0].open:
+                sock.shutdown(socket.SHUT_RDWR)
+            self.assertEqual(client.answer()[0], 502)
+            self.assertEqual(carried, [False])
+
     def test_a_fault_of_ours_under_an_answer_leaves_nothing_waiting(self):
         with Platform() as it:
             def fails(*words, **facts):
--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -299,6 +299,7 @@
         except Exception as fault:          # ours; loud, and what waits here is not left waiting
             self.note("fault", level="error", **fault_of(fault))
             problem = "a fault of ours"
+        connection.doubted = True           # carries nothing new while settle() waits
         if connection.waiting:
             self.owner.settle()
         self.broke(connection, problem or ("closed inside a frame" if frames.torn else ""))
--- a/threadshift/links/link.py
+++ b/threadshift/links/link.py
@@ -55,6 +55,18 @@
     def heard(self, worker: str, frame: Frame) -> None: ...
 
 
+def invoke_fields(held: Any, left: int) -> dict[str, Any]:
+    """What an invoke frame says of a call with so many ns left."""
+    call = held.call
+    fields = {"function": call.function, "type": call.type, "effect": held.act.kind.effect.value, "left": left,
+              "body": call.body, "lanes": call.lanes, "activation": held.ivk}
+    if call.mark:
+        fields["mark"] = call.mark
+    if call.work:
+        fields["work"] = call.work
+    return fields
+
+
 class Link:
     """The connection to one worker. Keys are ids of frames; `waiting` has what each id's answer goes to."""
 
@@ -80,14 +92,7 @@
     # What the desk's port asks for.
 
     def invoke(self, held: Any, number: int, left: int) -> Outcome | None:
-        call = held.call
-        fields = {"function": call.function, "type": call.type, "effect": held.act.kind.effect.value, "left": left,
-                  "body": call.body, "lanes": call.lanes, "activation": held.ivk}
-        if call.mark:
-            fields["mark"] = call.mark
-        if call.work:
-            fields["work"] = call.work
-        return self.put((held, number), "invoke", fields)
+        return self.put((held, number), "invoke", invoke_fields(held, left))
 
     def order(self, asked: Any) -> Outcome | None:
         return self.put(asked, "hold", {"function": asked.fn, "copies": 1})
@@ -255,13 +260,23 @@
                 if frame["kind"] != "draining":
                     self.hear(frame)
 
+    def refresh(self) -> None:
+        """Calls that waited, for the link or its socket, say how much time is left now, not when they were queued."""
+        now = time.monotonic_ns()
+        for id_ in self.outbox.unwritten:
+            what = self.waiting.get(id_)
+            if isinstance(what, tuple):
+                fields = invoke_fields(what[0], what[0].time_left(now))
+                self.outbox.replace(id_, pack({"kind": "invoke", "id": id_, **fields}))
+
     def write(self) -> None:
         """Writes what waits. A worker that takes no byte for the write limit is broken off."""
         sock = self.sock
         assert sock is not None
+        self.refresh()
         try:
             while True:
-                write_out(sock, self.outbox, self.bounds.write)
+                write_out(sock, self.outbox, self.bounds.write, self.refresh)
                 self.wake.clear()
                 self.wake.wait()
         except OSError:
--- a/threadshift/links/sockets.py
+++ b/threadshift/links/sockets.py
@@ -69,15 +69,13 @@
     """Writes what waits in the outbox. Raises OSError where the peer takes no byte for limit ns.
 
     Each chunk is cut when it can be written, not before: what is taken back while we wait must not leave after all,
-    and what did leave would be counted against frames that it is not of. refresh() is called before each is cut."""
-    while outbox.waiting:
-        refresh()
-        if not (chunk := outbox.chunk()):
-            break
+    and what did leave would be counted against frames that it is not of. refresh() is called after each wait."""
+    while chunk := outbox.chunk():
         try:
             outbox.wrote(sock.send(chunk, 0, 0.0), time.monotonic_ns())
         except BlockingIOError:
             socket.wait_write(sock.fileno(), limit / SECOND)
+            refresh()
     outbox.wrote(0)
 
 
