--- a/tests/test_drain_grace.py
+++ b/tests/test_drain_grace.py
@@ -19,7 +19,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.live import ANY, Live, free_port, until
+from tests.live import ANY, Live, Silent, free_port, until
 from tests.platform import (
     SETTINGS, Client, Coordinator, Platform, Worker, configuration, event, instance, request, serve)
 from threadshift.conf.values import Address
@@ -32,6 +32,8 @@
 from threadshift.interface import MS, SECOND, State
 from threadshift.links.codec import encode
 from threadshift.links.redial import Redial
+from threadshift.node import placement
+from threadshift.node.front import Node
 from threadshift.roster.membership import Entry, Membership, WorkerList
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -426,6 +428,26 @@
         self.assertEqual(it.told_since(11 * SECOND, 0), 11 * SECOND)
 
 
+class Settings(unittest.TestCase):
+    @hypothesis.settings(max_examples=100, deadline=None, derandomize=True)
+    @given(st.integers(0, 3000), st.sampled_from(("push", "ask", None)), st.sampled_from((None, 0.0, 50.0, 10_000.0)),
+           st.integers(1, 12_000))
+    def test_nothing_is_sent_before_the_first_answer(self, grace_ms, mode, ask_within, give_up):
+        settings = short_grace_settings(float(grace_ms))
+        settings["registryMode"], settings["rules"]["askWithin"] = mode, ask_within
+        for lane in settings["lanes"]:
+            lane["aim"], lane["giveUp"] = min(lane["aim"], float(give_up)), float(give_up)
+        placed = placement.understand(configuration(settings=settings, known={"index": 1, "updates": [
+            event(1, instance("s-0", ANY), full=True)]}), {}, "test")
+        self.assertEqual(placed.deployment.drain_grace, grace_ms * MS)
+        node = Node(placed, {}, Silent())
+        node.ready_by = time.monotonic_ns() + SECOND
+        self.assertTrue(node.list_is_stale())
+        self.assertFalse(node.ready())
+        node.coordinator.freshness.caught_up()
+        self.assertFalse(node.list_is_stale())
+
+
 class EmptyLists(unittest.TestCase):
     @hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
     @given(st.integers(0, 3000), st.integers(0, 6000))
