--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -80,6 +80,14 @@
         yield come
 
 
+def fill(it, left):
+    """As many clients as there may be, each with a request under way."""
+    busy = [it.client() for _ in range(it.node.door.most())]
+    for n, each in enumerate(busy):
+        each.ask(id_=f"{n:016x}", left=left)
+    until(lambda: it.node.desk.owed == len(busy))
+
+
 def attempt(id_, time_left, body=b""):
     """A request as links know it."""
     call = mock.Mock(type="check", function="00000000000000f1", mark="", body=body)
@@ -511,10 +519,7 @@
 
     def test_where_there_is_no_room_what_came_with_the_connection_is_refused_in_words(self):
         with Platform([silent], limits={"cores": 1.0, "memory_mb": 96, "sockets": 32}) as it:
-            busy = [it.client() for _ in range(it.node.door.most())]
-            for n, each in enumerate(busy):
-                each.ask(id_=f"{n:016x}", left="900")
-            until(lambda: it.node.desk.owed == len(busy))
+            fill(it, left="900")
             late = native(it.address)
             late.sendall(request(1, A) + request(2, B))
             until(lambda: it.node.door.tally.totals().get("too-many-connections"))
@@ -527,10 +532,7 @@
 
     def test_where_all_are_busy_one_wait_in_vain_is_enough(self):
         with Platform([silent], limits={"cores": 1.0, "memory_mb": 96, "sockets": 32}) as it:
-            busy = [it.client() for _ in range(it.node.door.most())]
-            for n, each in enumerate(busy):
-                each.ask(id_=f"{n:016x}", left="1500")
-            until(lambda: it.node.desk.owed == len(busy))
+            fill(it, left="1500")
             late = [it.client() for _ in range(10)]
             since = time.monotonic_ns()
             self.assertTrue(all(each.closed(1.0) for each in late))
