One place makes the frame of a send that has waited

Read again: the frame with the time left now was made in three places of frames/link.py (a dial that came up, a full socket, a break). One function serves them; behaviour as before.

--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -62,6 +62,11 @@
     return encode(INVOKE, id_, fields, call.body)
 
 
+def request_now(id_: bytes, held: Any) -> bytes:
+    """The frame of a send that has waited: it says how much time is left now."""
+    return request(id_, held.call, held.time_left(time.monotonic_ns()))
+
+
 class Connection(Outgoing):
     """One connection to a worker."""
 
@@ -75,11 +80,10 @@
 
     def refresh(self) -> None:
         """Requests that waited for the socket say how much time is left now, not when they were queued."""
-        now = time.monotonic_ns()
         for id_ in self.outbox.unwritten:
             what = self.waiting.get(id_)
             if isinstance(what, tuple):
-                self.outbox.replace(id_, request(id_, what[0].call, what[0].time_left(now)))
+                self.outbox.replace(id_, request_now(id_, what[0]))
 
 
 class Link:
@@ -273,7 +277,7 @@
         queued, self.queue = self.queue, {}
         for id_, what in queued.items():
             # The time that is left is told as it is now, or the worker would work on for nobody.
-            frame = request(id_, what[0].call, what[0].time_left(time.monotonic_ns()))
+            frame = request_now(id_, what[0])
             if (outcome := self.place(id_, what, frame)) is not None:
                 self.finish(what, time.monotonic_ns(), outcome)
 
@@ -352,9 +356,7 @@
             if id_ not in frames:
                 self.finish(what, now, Outcome.RESET)
                 continue
-            frame = frames[id_]
-            if isinstance(what, tuple):
-                frame = request(id_, what[0].call, what[0].time_left(now))
+            frame = request_now(id_, what[0]) if isinstance(what, tuple) else frames[id_]
             if (outcome := self.place(id_, what, frame)) is not None:
                 self.finish(what, now, outcome)
 
