The bound on the head of the coordinator's answer no longer counts the events behind it

Seen: with thousands of workers the stream notes 'a head over 16384 bytes' at each try and never follows the coordinator; after 4 s the front end serves by the list of its configuration (rule drain). Cause: Response.feed added the whole of a read to the size of the head before it was parsed; a read of up to 64 KiB brings head and events together, as soon as what was missed exceeds some 100 workers. Changed: bytes count while the head has not ended.

--- a/tests/test_thousands_of_workers.py
+++ b/tests/test_thousands_of_workers.py
@@ -29,7 +29,8 @@
 def settings_of_a_fleet():
     settings = json.loads(json.dumps(SETTINGS))
     settings["peersTotal"] = 200
-    settings["lanes"] = [dict(name="check", aim=350.0, giveUp=float(LEFT_MS), effect="safe", worth=1.0, lateValue=0.3)]
+    settings["lanes"] = [dict(name="check", aim=350.0, giveUp=float(LEFT_MS), effect="safe", worth=1.0,
+                              lateValue=0.3)]
     return settings
 
 
--- a/threadshift/coordinator/stream.py
+++ b/threadshift/coordinator/stream.py
@@ -44,14 +44,15 @@
         self.ended = True
 
     def feed(self, data: bytes) -> bytes:
-        """What of the body is in data. Raises OSError."""
-        self.size += 0 if self.begun else len(data)
-        if self.size > LONGEST_HEAD and not self.begun:
-            raise OSError(f"a head over {LONGEST_HEAD} bytes")
+        """What of the body is in data, which may hold the end of the head, too. Raises OSError."""
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as problem:
             raise OSError(f"not HTTP/1.1: {str(problem)[:100]}") from None
+        if not self.begun:
+            self.size += len(data)
+            if self.size > LONGEST_HEAD:
+                raise OSError(f"a head over {LONGEST_HEAD} bytes")
         if self.begun and self.parser.get_status_code() != 200:
             raise OSError(f"status {self.parser.get_status_code()}")
         body, self.body = b"".join(self.body), []
