A start takes in its list before it listens, new workers come in batches, dials on demand

Cause of rule lost: Node.run listened first and then took in the list in one stretch; Node.link counted the ready workers anew for each worker (10.2 million steps with 3,200, 3.3 s on a full core, front.py:70), Node.dialled summed over all links for each dial, accept and eviction (front.py:76), and every worker was dialled at once, far past the descriptors. Requests whose connections the kernel had accepted lay unread meanwhile. And LIST_WAIT ran from before that stretch, so a front end went on without the coordinator as soon as it came to itself.

Changed: the list is taken in before the listener opens, in the time that counts for nobody; more than 32 new workers of a later list are taken in by the timer, 32 a tick, what drains or goes at once; bounds of a link are worked out once a list, connections are counted as they come and go; with more workers than a quarter of the descriptors a worker is dialled when something waits for it, and half of the descriptors are for them at most; workers gone are looked for among those gone. Notes: list-applied, started with prepared_ms and last_event, dialled_in_all in state.

--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -47,10 +47,15 @@
 class Owner(Protocol):
     """Whose link it is. settle() is called before what answers bring, or a dial that came up, is
     acted upon: it may wait a moment. room() makes room for one
-    more connection, by ending others only where it is wanted for something that waits; False where there is none."""
+    more connection, by ending others only where it is wanted for something that waits; False where there is none.
+    dials_ahead() tells whether connections are dialled before anything waits for them: not where workers are too many
+    to have one each. Each dial is counted as a connection from its begin on."""
 
     def settle(self) -> None: ...
     def room(self, wanted: bool) -> bool: ...
+    def dials_ahead(self) -> bool: ...
+    def connection_opened(self, link: Link) -> None: ...
+    def connection_closed(self, link: Link) -> None: ...
     def note(self, event: str, **fields: Any) -> None: ...
 
 
@@ -62,6 +67,11 @@
     return encode(INVOKE, id_, fields, call.body)
 
 
+def frame_of_order(id_: bytes, asked: Any) -> bytes:
+    """The frame of a load order, or of a question for a report."""
+    return encode(HOLD, id_, f"key={asked.fn},n=1") if asked.fn else encode(ASK, id_)
+
+
 def request_now(id_: bytes, held: Any) -> bytes:
     """The frame of a send that has waited: it says how much time is left now."""
     return request(id_, held.call, held.time_left(time.monotonic_ns()))
@@ -96,11 +106,12 @@
         self.redial = Redial(chance)
         self.not_before = 0
         self.connections: list[Connection] = []
-        self.queue: dict[bytes, tuple[Any, int]] = {}       # (held, number) that waits for the first connection
+        self.queue: dict[bytes, Any] = {}       # what waits for the first connection, as in Connection.waiting
         self.ways: dict[tuple[str, int], tuple[Connection | None, bytes]] = {}   # where a send waits, for cancels
         self.dialler: gevent.Greenlet | None = None
         self.stopped = False
-        self.dial()
+        if owner.dials_ahead():
+            self.dial()
 
     # What the desk's port asks for.
 
@@ -118,7 +129,7 @@
         while (connection := pool.fit(self.connections, id_, self.told.streams)) is not None and (
                 not connection.waiting and self.closed(connection)):
             self.end(connection)
-        if connection is None and isinstance(what, tuple):
+        if connection is None and (isinstance(what, tuple) or not (self.connections or self.owner.dials_ahead())):
             return self.wait_for_dial(what, id_)
         if connection is None or not connection.outbox.put(id_, frame):
             if not self.connections:
@@ -137,14 +148,15 @@
             return Outcome.UNREACHABLE
         return None
 
-    def wait_for_dial(self, what: tuple[Any, int], id_: bytes) -> Outcome | None:
+    def wait_for_dial(self, what: Any, id_: bytes) -> Outcome | None:
         if self.stopped or time.monotonic_ns() < self.not_before or id_ in self.queue or (
                 len(self.connections) >= self.told.most and not self.make_room()):
             return Outcome.UNREACHABLE
         if len(self.queue) >= self.told.streams:
             return Outcome.UNREACHABLE      # more than one connection takes: it never left
         self.queue[id_] = what
-        self.ways[what[0].ivk, what[1]] = None, id_
+        if isinstance(what, tuple):
+            self.ways[what[0].ivk, what[1]] = None, id_
         self.dial()
         return None
 
@@ -158,11 +170,10 @@
 
     def order(self, asked: Any) -> Outcome | None:
         id_ = self.number()
-        return self.place(id_, asked, encode(HOLD, id_, f"key={asked.fn},n=1"))
+        return self.place(id_, asked, frame_of_order(id_, asked))
 
     def ask(self, asked: Any) -> Outcome | None:
-        id_ = self.number()
-        return self.place(id_, asked, encode(ASK, id_))
+        return self.order(asked)
 
     def number(self) -> bytes:
         """An id of our own, which meets no other that is open here."""
@@ -235,8 +246,15 @@
 
     def dial(self) -> None:
         if self.dialler is None and not self.stopped:
+            self.owner.connection_opened(self)
             self.dialler = gevent.spawn(self.connect)
 
+    def end_dial(self) -> None:
+        """No connection came of the dial under way."""
+        if self.dialler is not None:
+            self.dialler = None
+            self.owner.connection_closed(self)
+
     def connect(self) -> None:
         """Brings one more connection up; while there is none, tries again after pauses."""
         problem = ""
@@ -245,7 +263,7 @@
             try:
                 if not self.owner.room(bool(self.queue)):
                     if not self.queue:
-                        self.dialler = None     # dialled once something waits for it
+                        self.end_dial()         # dialled once something waits for it
                         return
                     raise OSError("no descriptor is free for it")
                 sock = connect(self.address, self.told.connect)
@@ -261,8 +279,8 @@
                 queued, self.queue = self.queue, {}
                 for what in queued.values():
                     self.finish(what, now, Outcome.UNREACHABLE)
-                if self.connections and not self.queue:
-                    self.dialler = None
+                if not self.queue and (self.connections or not self.owner.dials_ahead()):
+                    self.end_dial()
                     return
         else:
             return
@@ -276,8 +294,10 @@
         connection.reader = gevent.spawn(self.read, connection)
         queued, self.queue = self.queue, {}
         for id_, what in queued.items():
+            if not isinstance(what, tuple) and what.over:
+                continue                        # its time is up
             # The time that is left is told as it is now, or the worker would work on for nobody.
-            frame = request_now(id_, what[0])
+            frame = request_now(id_, what[0]) if isinstance(what, tuple) else frame_of_order(id_, what)
             if (outcome := self.place(id_, what, frame)) is not None:
                 self.finish(what, time.monotonic_ns(), outcome)
 
@@ -351,7 +371,8 @@
             self.note("link-broke", worker=self.worker, problem=problem or "closed", sends=len(ended))
         if not self.connections and not self.stopped:
             self.not_before = self.redial.broke(now) if problem or ended else now
-            self.dial()
+            if self.owner.dials_ahead():
+                self.dial()
         for id_, what in ended:
             if id_ not in frames:
                 self.finish(what, now, Outcome.RESET)
@@ -364,6 +385,7 @@
         """Closes one connection, on which nothing counts any more."""
         if connection in self.connections:
             self.connections.remove(connection)
+            self.owner.connection_closed(self)
         if connection.writer is not None:
             connection.writer.kill(block=False)
         if connection.reader is not None and connection.reader is not gevent.getcurrent():
@@ -377,7 +399,7 @@
         self.stopped = True
         if self.dialler is not None:
             self.dialler.kill(block=False)
-            self.dialler = None
+            self.end_dial()
         self.take_back()
         for connection in list(self.connections):
             self.broke(connection, "stopped")
--- a/threadshift/gateway/fleet.py
+++ b/threadshift/gateway/fleet.py
@@ -6,6 +6,7 @@
 
 import time
 from collections.abc import Collection, Iterable
+from itertools import islice
 from typing import Any, Protocol
 
 import gevent
@@ -19,6 +20,7 @@
 from threadshift.roster.membership import Entry, Membership, WorkerList
 
 
+JOIN_BATCH = 32            # new workers taken in at a time: some ms of work, also on a part of a core
 READ_ROUND, READ_ROUNDS = MS, 10    # waits for arrived news to be read, and how many; a flood of it never ends
 
 
@@ -48,6 +50,7 @@
     def __init__(self, membership: Membership, log: Log) -> None:
         self.log, self.membership = log, membership
         self.links: dict[str, Any] = {}
+        self.joining: dict[str, None] = {}      # workers listed as ready that are still to be taken in
         self.settled = 0                 # when it was last seen that the process had stood still
         self.stalls = self.longest_stall = 0
         self.measured = self.looked = 0  # when the lag was read, and workers gone were looked for
@@ -129,6 +132,8 @@
         if due:
             self.desk.tick(now)
         self.change(self.membership.tick(now))
+        if self.joining:
+            self.join_workers()
         if now - self.looked >= SECOND:
             self.looked = now
             self.let_go_of_workers()
@@ -142,18 +147,48 @@
         self.apply_list(WorkerList(list(entries), full), time.monotonic_ns())
 
     def apply_list(self, workers: WorkerList, told_since: int) -> None:
-        """All that was told at once is known before any link is made or ended: what a link's end lets be sent again
-        must not go to a worker that the same news says drains."""
+        """All that was told at once of workers in use is known before any link is made or ended: what a link's end
+        lets be sent again must not go to a worker that the same news says drains.
+
+        New workers beyond a few are taken in by the timer, a batch at a time: each costs its points on the ring, and
+        with thousands of them at once requests would wait unread for seconds."""
         now = self.roster_said = time.monotonic_ns()
         self.roster_lost = False
         before = self.membership.empty_since
         listings = self.membership.apply(now, time.time_ns(), workers, told_since)
         if self.membership.empty_since is not None and before is None:
             self.note("roster-empty", level="warning", held_ms=self.membership.grace // 2 // MS)
+        listings = self.postpone_new(listings)
         self.apply_listings(listings)
-        for link in self.relink(workers.entries):
+        for link in self.relink(each for each in workers.entries if each.worker not in self.joining):
             link.stop()
         self.take_back(listings)
+        self.note("list-applied", listed=len(workers.entries), full=workers.full, changed=len(listings),
+                  joining=len(self.joining), told_ms=(now - told_since) // MS if told_since else None,
+                  took_ms=(time.monotonic_ns() - now) // MS)
+
+    def postpone_new(self, listings: list[Listing]) -> list[Listing]:
+        """Puts off new workers where they are many; the listings that are left."""
+        new = [each.worker for each in listings if each.state is State.READY and each.worker not in self.links]
+        if len(new) <= JOIN_BATCH:
+            for each in listings:
+                self.joining.pop(each.worker, None)
+            return listings
+        self.joining.update(dict.fromkeys(new))
+        left = [each for each in listings if each.state is not State.READY or each.worker in self.links]
+        for each in left:
+            self.joining.pop(each.worker, None)
+        return left
+
+    def join_workers(self, most: int = JOIN_BATCH) -> None:
+        """Takes in the next new workers."""
+        names = list(islice(self.joining, most))
+        for name in names:
+            del self.joining[name]
+        joined = [one for name in names if (one := self.membership.known.get(name)) is not None
+                  and self.membership.state(one) is State.READY]
+        self.apply_listings([self.membership.listing(one) for one in joined])
+        self.relink(one.entry for one in joined)
 
     def relink(self, entries: Iterable[Entry]) -> list[AnyLink]:
         """A link to each listed worker, at the address that the roster has now; the links that these replace."""
@@ -184,7 +219,9 @@
 
     def let_go_of_workers(self) -> None:
         """Ends links to workers that are gone, once nothing waits for them."""
-        for name in [name for name, link in self.links.items()
-                     if self.membership.known[name].entry.state is State.GONE and not link.busy]:
-            self.links.pop(name).stop()
+        for name in self.membership.gone:
+            link = self.links.get(name)
+            if link is not None and not link.busy:
+                del self.links[name]
+                link.stop()
         self.membership.forget(time.monotonic_ns(), self.links)
--- a/threadshift/node/descriptors.py
+++ b/threadshift/node/descriptors.py
@@ -13,12 +13,15 @@
 KEPT_PART = 4              # of a small limit, one in so many is kept instead
 CLIENTS = 3 / 8            # of the descriptors, which clients do not give up: usual ones hold a third at the most
 AHEAD = 8                  # connections to workers that clients leave room for beyond those that stand
+FLEET_PART = 4             # of the descriptors, one in so many: with more workers they are dialled when needed ...
+ON_DEMAND_PART = 2         # ... and so many connections stand at the most, those used longest ago making room
 
 
 class Descriptors:
     """One front end's, by the limit it was told."""
 
     def __init__(self, most: int) -> None:
+        self.most = most
         self.sum = most - min(KEPT, most // KEPT_PART)
         self.share = room.share(most)
         self.firm = min(self.share, max(8, int(most * CLIENTS)))
@@ -27,9 +30,14 @@
         """Connections that clients may hold while so many stand to workers."""
         return max(self.firm, min(self.share, self.sum - workers - AHEAD))
 
-    def fits(self, clients: int, workers: int) -> bool:
-        """Whether one more connection to a worker has room."""
-        return clients + workers < self.sum
+    def dials_ahead(self, fleet: int) -> bool:
+        """Whether each of so many workers is dialled before anything waits for its connection."""
+        return fleet <= self.most // FLEET_PART
+
+    def fits(self, clients: int, connections: int, fleet: int = 0) -> bool:
+        """Whether one more connection to a worker has room beside so many, in a fleet of so many workers."""
+        return clients + connections < self.sum and (
+            self.dials_ahead(fleet) or connections < self.most // ON_DEMAND_PART)
 
     def yields(self, clients: int) -> bool:
         """Whether clients are the ones to make room for it."""
--- a/threadshift/node/front.py
+++ b/threadshift/node/front.py
@@ -23,7 +23,7 @@
 from threadshift.frames import pool
 from threadshift.frames.link import Link
 from threadshift.gateway.fleet import Fleet
-from threadshift.interface import MS, SECOND, State
+from threadshift.interface import MS, SECOND, Listing
 from threadshift.invoke.admission import Admission
 from threadshift.links.sockets import listener
 from threadshift.log import Log
@@ -45,7 +45,12 @@
     def __init__(self, told: Placement, environment: Mapping[str, str], log: Log):
         super().__init__(Membership(told.deployment.drain_grace, same_start=0), log)   # starts are told by one clock
         now = time.monotonic_ns()
-        self.told, self.environment = told, environment
+        self.known, self.told = told.known, told._replace(known=())
+        self.environment = environment
+        self.bounds, self.bounded_for = told.links(0), 0
+        self.dialled = 0                         # connections to workers, those under way included ...
+        self.dialled_in_all = 0                  # ... and since the start
+        self.connected: dict[Link, int] = {}     # links that have some
         chance = random.Random(told.seed)
         self.chance, self.bits = chance.random, chance.getrandbits
         types = {each.name: each for each in told.deployment.types}
@@ -62,28 +67,54 @@
         self.leaving = Leaving(max(each.action_timeout for each in types.values()))
         self.greenlets = Group()
         self.listening: socket.socket | None = None
+        self.prepared_in = 0         # ns that the list of the configuration took
+        self.list_complete = False   # the first list has been received, or is no longer waited for
         self.ready_by = 0            # from then on it serves without an answer of a coordinator, or without workers
 
     # Workers.
 
+    @property
+    def ready_workers(self) -> int:
+        return len(self.desk.dispatcher.fleet)
+
     def link(self, it: Entry) -> Link:
-        workers = sum(each.entry.state is State.READY for each in self.membership.known.values())
-        return Link(it.worker, it.address, self.told.links(workers), self, self.chance, self.bits)
+        return Link(it.worker, it.address, self.bounds, self, self.chance, self.bits)
+
+    def apply_listings(self, listings: list[Listing]) -> None:
+        super().apply_listings(listings)
+        if self.ready_workers != self.bounded_for:
+            self.bounded_for = self.ready_workers
+            self.bounds = self.told.links(self.ready_workers)
 
     @property
-    def dialled(self) -> int:
-        """Connections to workers, those under way included."""
-        return sum(len(link.connections) + (link.dialler is not None) for link in self.links.values())
+    def listed_workers(self) -> int:
+        """All that are not gone, those included that are still to be taken in."""
+        return len(self.membership.known) - len(self.membership.gone)
+
+    def dials_ahead(self) -> bool:
+        return self.descriptors.dials_ahead(self.listed_workers)
+
+    def connection_opened(self, link: Link) -> None:
+        self.dialled += 1
+        self.dialled_in_all += 1
+        self.connected[link] = self.connected.get(link, 0) + 1
+
+    def connection_closed(self, link: Link) -> None:
+        self.dialled -= 1
+        self.connected[link] -= 1
+        if not self.connected[link]:
+            del self.connected[link]
 
     def room(self, wanted: bool) -> bool:
         """Makes room for a connection to a worker; the dial that asks is counted as one already."""
-        if self.descriptors.fits(len(self.door.connections), self.dialled - 1):
+        others = self.dialled - 1
+        if self.descriptors.fits(len(self.door.connections), others, self.listed_workers):
             return True
         if not wanted:
             return False
         if self.descriptors.yields(len(self.door.connections)) and self.door.make_room():
             return True
-        idle = {connection: link for link in self.links.values() for connection in link.connections}
+        idle = {connection: link for link in self.connected for connection in link.connections}
         if (goes := pool.who_goes(idle)) is None:
             return False
         idle[goes].end(goes)
@@ -105,7 +136,11 @@
 
         A worker that drained since then counts as told of all the same, so nothing is sent before the coordinator
         has answered; but not for ever, or no front end would serve while there is none."""
-        return not self.coordinator.freshness.answered and time.monotonic_ns() < self.ready_by
+        if self.list_complete:
+            return False
+        answered = self.coordinator.freshness.answered or time.monotonic_ns() >= self.ready_by
+        self.list_complete = answered and not self.joining
+        return not self.list_complete
 
     def ready(self) -> bool:
         # A list that is late or empty is waited for, not for ever: refused for it, a whole fleet would never start.
@@ -137,13 +172,14 @@
 
     def run(self) -> None:
         """Serves until told to end and what is held has its answers. Raises OSError where it cannot listen."""
+        self.greenlets.spawn(self.coordinator.run)    # before the links dial: calls wait for the coordinator's answer
+        self.prepare()
         sock = listener(self.told.listen, shared=False)
         self.door.looks.start()
         self.listening, self.ready_by = sock, time.monotonic_ns() + LIST_WAIT
-        self.greenlets.spawn(self.coordinator.run)    # before the links dial: calls wait for the coordinator's answer
-        self.coordinator.apply_known(self.told.known)
         self.greenlets.spawn(self.door.accept, sock)
-        self.note("started", listen=str(self.told.listen), pid=os.getpid(), workers=len(self.links))
+        self.note("started", listen=str(self.told.listen), pid=os.getpid(), workers=len(self.links),
+                  last_event=self.coordinator.sequence.last, prepared_ms=self.prepared_in // MS)
         self.keep_time(lambda: self.stage() not in (Stage.STAYING, Stage.SERVING))
         self.door.closing = True        # the listener stays: who still comes is refused in words, not by a reset
         self.note("draining", owed=self.desk.owed, connections=len(self.door.connections))
@@ -155,6 +191,15 @@
         self.door.looks.stop()
         self.note("ended", **self.state())
 
+    def prepare(self) -> None:
+        """Takes in the list of the configuration. With thousands of workers this takes a while, and a request counts
+        as taken once the operating system has accepted its connection: so it comes before the listener."""
+        since = time.monotonic_ns()
+        self.coordinator.apply_known(self.known)
+        self.known = ()
+        self.join_workers(len(self.joining))
+        self.prepared_in = time.monotonic_ns() - since
+
     def stage(self) -> Stage:
         return self.leaving.stage(time.monotonic_ns(), self.desk.owed + self.door.under_way)
 
@@ -174,8 +219,8 @@
         workers = dispatcher.workers.values()
         return {"owed": self.desk.owed, "held": len(self.desk.held), "connections": len(self.door.connections),
                 "flying": len(dispatcher.flying), "links": len(self.links),
-                "up": sum(link.up for link in self.links.values()),
-                "worker_connections": sum(len(link.connections) for link in self.links.values()),
+                "up": sum(link.up for link in self.connected),
+                "worker_connections": self.dialled, "dialled_in_all": self.dialled_in_all,
                 "ready": len(dispatcher.fleet), "suspended": sum(it.until > now for it in workers),
                 "functions": len(dispatcher.functions), "roster_lost": self.roster_lost,
                 "lag_ms": round(self.admission.lag / MS, 1), "part": round(self.admission.part, 3),
--- a/threadshift/roster/membership.py
+++ b/threadshift/roster/membership.py
@@ -96,6 +96,7 @@
     grace: int                   # ns; the drain grace
     same_start: int = SAME_START     # ns; 0 where one clock alone tells of starts
     known: dict[str, Known] = field(default_factory=dict)
+    gone: set[str] = field(default_factory=set)      # those of them that are gone
     empty_since: int | None = None   # since when an empty list that is not believed yet may count as told
     lacking: set[str] = field(default_factory=set)   # workers that it lacked, and that were not told of since
 
@@ -121,19 +122,28 @@
         return changed
 
     def not_gone(self) -> set[str]:
-        return {name for name, one in self.known.items() if one.entry.state is not State.GONE}
+        return self.known.keys() - self.gone
 
     def take(self, now: int, wall: int, told: Entry) -> Listing:
         one = self.known.setdefault(told.worker, Known(told))
         one.entry = told
+        self.note_gone(told.worker, one)
         self.start(one, now, wall, told.started)
         return self.listing(one)
 
     def ends(self, name: str, state: State) -> Listing:
         one = self.known[name]
         one.entry.state = state
+        self.note_gone(name, one)
         return self.listing(one)
 
+    def note_gone(self, name: str, one: Known) -> None:
+        if one.entry.state is State.GONE:
+            self.gone.add(name)
+        else:
+            self.gone.discard(name)
+            one.gone = 0
+
     def start(self, one: Known, now: int, wall: int, started: int) -> bool:
         """Takes over a later start. A first one is no restart, but counts for warming."""
         if started <= one.started + (self.same_start if one.started else 0):
@@ -145,13 +155,15 @@
         """Lets go of workers gone for long: a fleet whose replacements have new names would fill memory and status.
 
         One that comes back says in its hello what it said before, when it started and that it drains."""
-        for name, one in list(self.known.items()):
-            if one.entry.state is not State.GONE or name in linked:
+        for name in list(self.gone):
+            one = self.known[name]
+            if name in linked:
                 one.gone = 0
             elif not one.gone:
                 one.gone = now
             elif now - one.gone >= FORGOTTEN:
                 del self.known[name]
+                self.gone.discard(name)
 
     def hello(self, now: int, wall: int, name: str, started: int) -> list[Listing]:
         """A worker told its start itself."""
