What came while the process was stopped has waited: an interrupted wait is no look

Seen: wait=683 with 352 ms left, 17 ms after SIGCONT. Ruled out: own lag of the soak (52 ms at most), waits of links for a dial. Cause: epoll_wait ends with EINTR and without events after a stop (signal(7)); Looks took that for a look, so what the next one found seemed to have come just then (looks.py, looked). A smaller hole of the same kind: a wait of 0.25 ms and more was believed to have found what came in it, also where the process was only preempted after a long round.

Changed: a look after a wait in which the process stood still does not move the look before it; a wait after a round of 10 ms or more is not believed.

--- /dev/null
+++ b/tests/test_stops.py
@@ -0,0 +1,91 @@
+"""A process that is stopped by a signal and goes on: what came meanwhile has waited, and its clients may be gone.
+
+After a stop an epoll_wait that was under way ends with EINTR and no events, whatever has arrived (signal(7)).
+"""
+import signal
+import tempfile
+import unittest
+
+import gevent
+
+from tests.live import until
+from tests.platform import Coordinator, Worker, event, instance
+from tests.processes import FrontEndProcess
+from threadshift.frames.codec import INVOKE
+from threadshift.interface import MS, SECOND
+from threadshift.invoke import looks
+
+LEFT_MS, STOPPED_MS = 900, 400
+SLACK_MS = 150             # that the users' terms give to the time passed on
+STOPS = 6
+
+
+class StoppedWhileItWaits(unittest.TestCase):
+
+    def setUp(self):
+        self.worker = Worker()
+        self.addCleanup(self.worker.stop)
+        listed = event(1, instance("s-0", self.worker.address), full=True)
+        self.coordinator = Coordinator([listed])
+        self.addCleanup(self.coordinator.stop)
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.front_end = self.enterContext(FrontEndProcess(
+            folder, "n0", coordinator=str(self.coordinator.address), known={"index": 1, "updates": [listed]}))
+        self.client = self.front_end.client()
+        until(lambda: self.client.alive()[0] == 200)
+
+    def stopped(self, act):
+        """Stops the process while it waits, lets act() happen, and lets it go on."""
+        gevent.sleep(0.05)
+        self.front_end.process.send_signal(signal.SIGSTOP)
+        gevent.sleep(0.01)
+        act()
+        gevent.sleep(STOPPED_MS / 1_000)
+        self.front_end.process.send_signal(signal.SIGCONT)
+
+    def test_the_time_passed_on_counts_the_stop(self):
+        # Stop after stop looks like a processor at its limit, so some are refused.
+        statuses = []
+        for number in range(1, STOPS + 1):
+            self.stopped(lambda number=number: self.client.ask(number, id_=f"{number:016x}", left=str(LEFT_MS)))
+            statuses.append(self.client.answer(number)[0])
+        passed_on = [int(it.fields["wait"]) for it in self.worker.codes(INVOKE)]
+        self.assertEqual(set(statuses) - {503}, {200})
+        self.assertEqual(len(passed_on), statuses.count(200))
+        self.assertLessEqual(max(passed_on), LEFT_MS - STOPPED_MS + SLACK_MS)
+
+    def test_nothing_is_sent_for_clients_that_left_during_the_stop(self):
+        def ask_and_leave():
+            self.client.ask(1, id_=f"{number:016x}", left=str(LEFT_MS))
+            self.client.abort(1)
+
+        for number in range(1, STOPS + 1):
+            self.stopped(ask_and_leave)
+            self.assertEqual(self.client.alive(2)[0], 200)
+        self.assertEqual(self.worker.codes(INVOKE), [])
+
+
+class LooksAfterAStop(unittest.TestCase):
+
+    def look_at(self, *times):
+        """What is read at the last of these times may have waited so long; each is (wait began, wait ended) in ms."""
+        it = looks.Looks()
+        it.before = it.last = it.idle = it.idle_before = SECOND
+        for began, ended in times:
+            it.idle = SECOND + int(began * MS)
+            it.note_look(SECOND + int(ended * MS))
+        return it.unread(it.last) / MS
+
+    def test_a_wait_that_a_stop_interrupted_is_no_look(self):
+        self.assertEqual(self.look_at((0, 1), (1, 401), (401, 401.1)), 400.1)
+
+    def test_a_wait_after_a_long_round_is_not_trusted(self):
+        # The process may have been preempted in it: what it found lay there before.
+        self.assertEqual(self.look_at((0, 1), (400, 401)), 400)
+
+    def test_what_a_usual_wait_finds_has_just_come(self):
+        self.assertEqual(self.look_at((0, 1), (2, 5), (6, 9)), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/threadshift/invoke/looks.py
+++ b/threadshift/invoke/looks.py
@@ -23,12 +23,12 @@
     """The last two looks of this thread's loop; start() begins to note them."""
 
     def __init__(self) -> None:
-        self.before = self.last = self.idle = 0
+        self.before = self.last = self.idle = self.idle_before = 0
         loop = gevent.get_hub().loop
         self.watcher, self.watcher_idle = loop.check(), loop.prepare(priority=loop.MINPRI)
 
     def start(self) -> None:
-        self.before = self.last = self.idle = time.monotonic_ns()
+        self.before = self.last = self.idle = self.idle_before = time.monotonic_ns()
         self.watcher.start(self.looked)
         self.watcher_idle.start(self.waits)
 
@@ -42,11 +42,21 @@
         self.idle = time.monotonic_ns()
 
     def looked(self) -> None:
-        self.before, self.last = self.last, time.monotonic_ns()
+        self.note_look(time.monotonic_ns())
+
+    def note_look(self, now: int) -> None:
+        """The loop has looked. A wait in which the process was stopped may have ended with EINTR and without a look:
+        what the next one finds may have come during the stop, so the look before that still counts."""
+        interrupted = self.last - self.idle_before >= STOOD
+        if not interrupted:
+            self.before = self.last
+        self.last, self.idle_before = now, self.idle
 
     def unread(self, now: int) -> int:
         """ns for which what is read now may have waited; 0 while looks are not noted. A loop that waited found it
-        as it came: counted from the look before, a call of 70 ms would lose a tenth of its time for nothing."""
+        as it came: counted from the look before, a call of 70 ms would lose a tenth of its time for nothing. After a
+        long round that is not believed: the process may just have been preempted in a wait that found it at once."""
         if not self.before:
             return 0
-        return now - (self.last if WAITED <= self.last - self.idle < STOOD else self.before)
+        waited = WAITED <= self.last - self.idle < STOOD and self.idle - self.before < STOOD
+        return now - (self.last if waited else self.before)
