Signals that come while a front end ends no longer end it by their default

Cause: start.py leaves the signals unblocked once gevent's handlers are gone with the loop. Changed: they are blocked again before the last lines are written.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,8 +3,8 @@
     python -m tests.soak FIRST_SEED COUNT [--at-once N]
 
 Each seed draws a deployment (deadlines, drain grace, limits, 1 to 5 front ends, 3 to 1,600 workers) and some seconds
-of trouble: releases of workers, a coordinator that breaks off, workers that hang, reset, turn away; front ends that are
-stopped for a moment, told of new configurations in a row, told to end and killed at the earliest moment that the
+of trouble: releases of workers, a coordinator that breaks off, workers that hang, reset, turn away; front ends that
+are stopped for a moment, told of new configurations in a row, told to end and killed at the earliest moment that the
 protocol allows, or killed at once; on some seeds a crowd of silent and of withdrawing clients. Clients go on sending
 on their open connections until the kill. A line a seed is printed; the exit code is 1 where a rule is broken.
 
@@ -562,9 +562,10 @@
             if it.excused or it.left:
                 continue
             if not it.answered and now > it.deadline + LATE + self.lag.around(it.deadline):
-                self.broke("lost", f"{it.id}: no answer in its time ({it.front_end})")
+                self.broke("lost", f"{it.id}: no answer in its time ({it.front_end})", it.front_end, it.deadline)
             elif it.answered > it.deadline + LATE + self.lag.around(it.deadline):
-                self.broke("lost", f"{it.id}: answered {(it.answered - it.deadline) / MS:.0f} ms late")
+                self.broke("lost", f"{it.id}: answered {it.status} {(it.answered - it.deadline) / MS:.0f} ms late",
+                           it.front_end, it.answered)
         for id_, attempts in self.attempts.items():
             if id_ in by_id:
                 self.judge_attempts(by_id[id_], attempts)
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -9,7 +9,7 @@
 import gevent
 
 from tests.live import until
-from tests.platform import Coordinator, Worker, event, instance
+from tests.platform import Coordinator, Worker, configuration, event, instance
 from tests.processes import FrontEndProcess
 from threadshift.frames.codec import INVOKE
 from threadshift.interface import MS, SECOND
@@ -18,6 +18,7 @@
 LEFT_MS, STOPPED_MS = 900, 400
 SLACK_MS = 150             # that the users' terms give to the time passed on
 STOPS = 6
+SHORT_MS = 200.0
 
 
 class StoppedWhileItWaits(unittest.TestCase):
@@ -55,16 +56,40 @@
         self.assertLessEqual(max(passed_on), LEFT_MS - STOPPED_MS + SLACK_MS)
 
     def test_nothing_is_sent_for_clients_that_left_during_the_stop(self):
-        def ask_and_leave():
-            self.client.ask(1, id_=f"{number:016x}", left=str(LEFT_MS))
+        def ask_and_leave(id_):
+            self.client.ask(1, id_=id_, left=str(LEFT_MS))
             self.client.abort(1)
 
         for number in range(1, STOPS + 1):
-            self.stopped(ask_and_leave)
+            self.stopped(lambda number=number: ask_and_leave(f"{number:016x}"))
             self.assertEqual(self.client.alive(2)[0], 200)
         self.assertEqual(self.worker.codes(INVOKE), [])
 
 
+class SignalsInSeries(unittest.TestCase):
+
+    def test_further_signals_until_the_end_do_not_end_it_otherwise(self):
+        coordinator = Coordinator([event(1, full=True)])
+        self.addCleanup(coordinator.stop)
+        settings = configuration()["settings"]
+        for lane in settings["lanes"]:
+            lane["giveUp"] = SHORT_MS
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        front_end = self.enterContext(FrontEndProcess(
+            folder, "n0", coordinator=str(coordinator.address), settings=settings))
+        front_end.client().close()
+        front_end.process.send_signal(signal.SIGTERM)
+        until(lambda: self.ended(front_end.process))
+        self.assertEqual(front_end.process.returncode, 0)
+
+    @staticmethod
+    def ended(process):
+        for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+            if process.poll() is None:
+                process.send_signal(number)
+        return process.poll() is not None
+
+
 class LooksAfterAStop(unittest.TestCase):
 
     def look_at(self, *times):
--- a/threadshift/node/start.py
+++ b/threadshift/node/start.py
@@ -38,5 +38,7 @@
         print(f"threadshift: cannot listen at {told.listen}: {problem}", file=sys.stderr)
         return 1
     finally:
+        # One that comes from here on finds nobody to hear it, and would end the process by its default.
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
         log.close()
     return 0
