Log lines with ids: refused, retried and ended requests, lists applied, when a front end serves

Now: request-refused, request-ended with its attempts, client-gone, coordinator-current, serving, list-applied, each counted where there are too many of a kind.

--- a/tests/test_thousands_of_workers.py
+++ b/tests/test_thousands_of_workers.py
@@ -10,13 +10,18 @@
 from contextlib import ExitStack
 
 import gevent
+from gevent import socket
 
 from tests.live import until
-from tests.platform import SETTINGS, Coordinator, Worker, event, instance
+from tests.platform import SETTINGS, Coordinator, Platform, Worker, event, instance
 from tests.processes import FrontEndProcess
+from threadshift.coordinator.events import parse_update
 from threadshift.coordinator.stream import Response
-from threadshift.frames.codec import HOLD, INVOKE
+from threadshift.desk.desk import Asked
+from threadshift.frames.codec import ASK, FROM_WORKER, FULL, HOLD, INVOKE, encode
+from threadshift.gateway.fleet import JOIN_BATCH
 from threadshift.interface import MS
+from threadshift.node.descriptors import Descriptors
 
 WORKERS = 3_200            # the most that the operators' page names
 FRONT_ENDS = 3
@@ -108,6 +113,112 @@
         self.assertEqual(set(statuses), {200})
 
 
+class MoreWorkersThanConnections(unittest.TestCase):
+    """One front end of 256 descriptors, in the process of the test, with more workers than a quarter of them."""
+
+    WORKERS = 100
+
+    def setUp(self):
+        self.worker = Worker()
+        self.addCleanup(self.worker.stop)
+        self.platform = Platform(scripts=())
+        listed = event(1, *map(self.entry, range(self.WORKERS)), full=True)
+        self.platform.coordinator.events = [listed]
+        self.enterContext(self.platform)
+        self.node = self.platform.node
+        until(lambda: len(self.node.desk.dispatcher.fleet) == self.WORKERS)
+
+    def entry(self, number, state="Ready"):
+        return instance(f"s-{number}", self.worker.address, state)
+
+    def test_a_worker_is_dialled_when_something_waits_for_it(self):
+        self.assertEqual(self.node.dialled, 0)
+        self.assertEqual(self.platform.call()[0], 200)
+        self.assertEqual(self.node.dialled, sum(len(link.connections) for link in self.node.links.values()))
+        self.assertIn(self.node.dialled, (1, 2))        # the request's, and perhaps that of a load order
+
+    def test_a_question_waits_for_its_dial(self):
+        link = next(iter(self.node.links.values()))
+        self.assertIsNone(link.ask(Asked(self.node.desk, link.worker)))
+        self.assertEqual(len(link.queue), 1)
+        until(lambda: len(self.worker.codes(ASK)) == 1)
+
+    def test_a_connection_that_ended_is_not_dialled_again_for_nothing(self):
+        self.assertEqual(self.platform.call()[0], 200)
+        until(lambda: not any(link.dialler for link in self.node.links.values()))
+        in_all = self.node.dialled_in_all
+        for sock in self.worker.open:
+            sock.shutdown(socket.SHUT_RDWR)
+        until(lambda: not self.node.dialled)
+        gevent.sleep(0.1)
+        self.assertEqual((self.node.dialled, self.node.dialled_in_all), (0, in_all))
+
+    def test_what_drains_counts_at_once_and_new_workers_come_in_batches(self):
+        new = range(self.WORKERS, self.WORKERS + 3 * JOIN_BATCH)
+        update = parse_update(event(2, self.entry(0, "Terminating"), *map(self.entry, new)))
+        self.node.on_list_update(update)
+        ready = {worker.name for worker in self.node.desk.dispatcher.fleet}
+        self.assertEqual(len(ready), self.WORKERS - 1)
+        self.assertNotIn("s-0", ready)
+        last = new[-1]      # drains before its turn has come
+        self.node.on_list_update(parse_update(event(3, self.entry(last, "Terminating"))))
+        until(lambda: not self.node.joining)
+        ready = {worker.name for worker in self.node.desk.dispatcher.fleet}
+        self.assertEqual(len(ready), self.WORKERS - 1 + len(new) - 1)
+        self.assertNotIn(f"s-{last}", ready)
+
+    def test_connections_are_counted_as_they_come_and_go(self):
+        for number in range(12):
+            self.platform.call(id_=f"{number:016x}", item=f"{number:016x}")
+        until(lambda: not any(link.dialler for link in self.node.links.values()))
+        self.assertEqual(self.node.dialled, sum(len(link.connections) for link in self.node.links.values()))
+        for link in list(self.node.links.values()):
+            link.stop()
+        self.assertEqual((self.node.dialled, self.node.connected), (0, {}))
+
+
+class ConnectionsOfManyWorkers(unittest.TestCase):
+
+    def test_half_of_the_descriptors_are_for_workers_that_are_dialled_when_needed(self):
+        shared = Descriptors(512)
+        self.assertTrue(shared.dials_ahead(128))
+        self.assertFalse(shared.dials_ahead(129))
+        self.assertTrue(shared.fits(0, 255, 3_200))
+        self.assertFalse(shared.fits(0, 256, 3_200))
+        self.assertTrue(shared.fits(0, 256, 128))
+
+
+class WhatTheLogSays(unittest.TestCase):
+    """Why a request was refused, retried or given up, with its id."""
+
+    def test_a_refused_request_is_named(self):
+        with Platform(answering=False) as it:
+            client = it.client()
+            client.ask(id_="00000000000000c1", left="60")
+            self.assertEqual(client.answer()[0], 503)
+            [line] = it.log.of("request-refused")
+            self.assertEqual((line["id"], line["reason"]), ("00000000000000c1", "too-late"))
+
+    def test_the_attempts_of_a_request_are_named(self):
+        def turn_away(worker, sock, it):
+            if it.code == INVOKE:
+                sock.sendall(encode(FULL, it.id, mark=FROM_WORKER))
+
+        with Platform(scripts=(turn_away, turn_away)) as it:
+            self.assertEqual(it.call(id_="00000000000000c2")[0], 503)
+            [line] = it.log.of("request-ended")
+            self.assertEqual(line["id"], "00000000000000c2")
+            self.assertRegex(line["attempts"][0], r"s-\d \+\d+ full")
+
+    def test_it_says_when_it_serves_and_by_which_list(self):
+        with Platform() as it:
+            until(lambda: it.log.of("serving"))
+            [line] = it.log.of("serving")
+            self.assertEqual((line["received"], line["last_event"]), (True, 1))
+            self.assertTrue(it.log.of("coordinator-current"))
+            self.assertEqual(it.log.of("list-applied")[0]["listed"], 1)
+
+
 class HeadAndEventsTogether(unittest.TestCase):
     """A response of which the first bytes read hold more than the head."""
 
--- a/threadshift/coordinator/stream.py
+++ b/threadshift/coordinator/stream.py
@@ -173,4 +173,5 @@
             return
         gevent.sleep(CATCH_UP / SECOND)
         if not shows(sock, select.POLLIN):
+            self.note("coordinator-current", last_event=self.sequence.last, failures=self.freshness.failures)
             self.freshness.caught_up()
--- a/threadshift/fastcgi/connection.py
+++ b/threadshift/fastcgi/connection.py
@@ -26,6 +26,7 @@
 BUFFER = 1 << 20           # bytes of answers that wait for one client; its open requests' usual answers fit
 MOST_OPEN = 32             # requests on one connection; the protocol's bound
 DROPPED = 256 << 10        # bytes for requests that have ended, until the connection is closed
+IDS_TOLD = 4               # of requests whose connection ended, in one line of the log
 PROMPT = 50 * MS           # from accepting to the first bytes: what comes so soon came with the connection
 
 MANY = requests.busy("too many requests on one connection", 0)
@@ -105,6 +106,8 @@
     def give_up_all(self) -> None:
         """The client is gone, or is to go: nothing is owed to it any more."""
         gone, self.open = list(self.open.values()), {}
+        if ids := [request.held.ivk for request in gone if isinstance(request.held, Held)]:
+            self.door.note("client-gone", requests=len(ids), ids=ids[:IDS_TOLD])
         for request in gone:
             self.let_go(request)
 
--- a/threadshift/fastcgi/door.py
+++ b/threadshift/fastcgi/door.py
@@ -36,6 +36,12 @@
 CROWDED = "too-many-connections"
 
 
+def attempts_of(held: Held) -> list[str]:
+    """The attempts of a request for its line in the log: worker, ms after the request was taken, outcome."""
+    return [f"{sent.worker} +{(sent.at - held.taken) // MS} {sent.outcome.value if sent.outcome else 'open'}"
+            for sent in held.sends]
+
+
 class Door:
     """The listener and all connections; the desk's port to clients."""
 
@@ -133,7 +139,7 @@
         if unread < STALL and not self.front_end.list_is_stale() and not self.front_end.update_unread():
             self.let_in(request, asked, unread)
         elif len(self.postponed) + len(self.desk.held) >= self.activations:
-            self.refuse(request, FULL)
+            self.refuse(request, FULL, asked.ivk)
         else:
             self.postponed.add(request, asked, unread)
 
@@ -146,8 +152,8 @@
         """Whether something lies unread on the connection of a request that is open."""
         return self.still_open(request) and shows(request.connection.sock, select.POLLIN | select.POLLRDHUP)
 
-    def refuse_late(self, request: Request) -> None:
-        self.refuse(request, LATE)
+    def refuse_late(self, request: Request, asked: requests.Asked) -> None:
+        self.refuse(request, LATE, asked.ivk)
 
     def take_postponed(self, request: Request, asked: requests.Asked, unread: int) -> None:
         """A request that has waited long enough: refused, or the desk's from here on."""
@@ -165,13 +171,16 @@
             raise Unfit(409, "a request with this id is open")
         call = asked.call._replace(left=asked.call.left - unread)
         if self.closing or call.left <= 0 or len(self.desk.held) >= self.activations:
-            self.refuse(request, CLOSING if self.closing else LATE if call.left <= 0 else FULL)
+            self.refuse(request, CLOSING if self.closing else LATE if call.left <= 0 else FULL, asked.ivk)
             return
         request.held = self.desk.take(time.monotonic_ns(), asked.ivk, call, request)
 
-    def refuse(self, request: Request, reason: str) -> None:
+    def refuse(self, request: Request, reason: str, id_: str = "") -> None:
         """Not taken: nothing ran, so trying again is harmless."""
-        self.tally.note(time.monotonic_ns(), reason)
+        now = time.monotonic_ns()
+        self.tally.note(now, reason)
+        if id_:
+            self.note("request-refused", reason=reason, id=id_, read_ms=(now - request.began) // MS)
         request.held = True
         request.respond(self.busy(reason))
 
@@ -189,6 +198,10 @@
         assert answer is not None
         if answer.reason != "completed":
             self.tally.note(held.answered_at, f"{answer.final.value}-{answer.reason}")
+        if answer.reason != "completed" or len(held.sends) > 1:
+            self.note("request-ended", reason=answer.reason, id=held.ivk, type=held.call.type,
+                      answer=answer.final.value, after_ms=(held.answered_at - held.taken) // MS,
+                      left_ms=held.time_left(held.answered_at) // MS, attempts=attempts_of(held))
         held.client.respond(requests.final(answer))
 
     def over(self, held: Held) -> None:
--- a/threadshift/fastcgi/postponed.py
+++ b/threadshift/fastcgi/postponed.py
@@ -58,7 +58,7 @@
     def still_open(self, request: Any) -> bool: ...
     def unread_on(self, request: Any) -> bool: ...
     def take_postponed(self, request: Any, asked: Asked, unread: int) -> None: ...
-    def refuse_late(self, request: Any) -> None: ...
+    def refuse_late(self, request: Any, asked: Asked) -> None: ...
 
 
 class PostponedRequests:
@@ -89,7 +89,7 @@
             if not self.owner.still_open(each.request):
                 continue                    # its client gave it up
             if stale and each.expired(now):
-                self.owner.refuse_late(each.request)
+                self.owner.refuse_late(each.request, each.asked)
             elif stale or self.unread_behind(each, now):
                 self.waiting.append(each)
             else:
--- a/threadshift/node/front.py
+++ b/threadshift/node/front.py
@@ -140,6 +140,10 @@
             return False
         answered = self.coordinator.freshness.answered or time.monotonic_ns() >= self.ready_by
         self.list_complete = answered and not self.joining
+        if self.list_complete:
+            received = self.coordinator.freshness.answered
+            self.note("serving", level="info" if received else "warning", received=received,
+                      workers=self.ready_workers, last_event=self.coordinator.sequence.last)
         return not self.list_complete
 
     def ready(self) -> bool:
--- a/threadshift/ring.py
+++ b/threadshift/ring.py
@@ -112,11 +112,13 @@
         return Cursor(section, bisect.bisect(self.sections[section], point | NUMBER_MASK))
 
     def next(self, cursor: Cursor) -> tuple[W | None, Cursor]:
-        """The worker of the entry that follows, None for one that was removed, and the place behind it. The ring must
-        not be empty."""
+        """The worker of the entry that follows and the place behind it; None for a worker that was removed, and where
+        the ring has become empty."""
         section, place = cursor
-        while place >= len(self.sections[section]):
+        for _ in range(SECTIONS + 1):
+            if place < len(self.sections[section]):
+                return self.workers[self.sections[section][place] & NUMBER_MASK], Cursor(section, place + 1)
             section, place = (section + 1) % SECTIONS, 0
             if self.untidy[section]:
                 self.put_in_order(section)
-        return self.workers[self.sections[section][place] & NUMBER_MASK], Cursor(section, place + 1)
+        return None, cursor
