--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -9,10 +9,12 @@
 import gevent
 
 from tests.live import until
-from tests.platform import Coordinator, Worker, configuration, event, instance
+from tests.platform import Coordinator, Platform, Worker, configuration, event, instance
 from tests.processes import FrontEndProcess
+from threadshift.desk.desk import Call, Held
 from threadshift.frames.codec import INVOKE
-from threadshift.interface import MS, SECOND
+from threadshift.frames.link import request_now
+from threadshift.interface import MS, SECOND, Outcome
 from threadshift.invoke import looks
 
 LEFT_MS, STOPPED_MS = 900, 400
@@ -66,6 +68,20 @@
         self.assertEqual(self.worker.codes(INVOKE), [])
 
 
+class TimeThatEndedMeanwhile(unittest.TestCase):
+    """A request whose time ends between the decision and the first byte: the process was stopped just there."""
+
+    def test_nothing_of_it_is_written(self):
+        with Platform() as it:
+            held = Held(it.node.desk, "00000000000000d1", Call("check", "00000000000000f1", 0), 0, deadline=1)
+            self.assertEqual(it.node.send("s-0", held, 0), Outcome.MOOT)
+            link = it.node.links["s-0"]
+            id_ = bytes.fromhex(held.ivk)
+            self.assertEqual(link.place(id_, (held, 0), request_now(id_, held)), Outcome.MOOT)
+            self.assertEqual(it.call()[0], 200)
+            self.assertEqual(len(it.workers[0].codes(INVOKE)), 1)
+
+
 class SignalsInSeries(unittest.TestCase):
 
     def test_further_signals_until_the_end_do_not_end_it_otherwise(self):
--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -125,7 +125,10 @@
 
     def place(self, id_: bytes, what: Any, frame: bytes) -> Outcome | None:
         """Puts a frame on the connection that fits and notes where it waits: the one way for all frames that are
-        answered. Idle connections that were closed meanwhile are ended on the way."""
+        answered. Idle connections that were closed meanwhile are ended on the way. Nothing of a request whose time
+        is up while it waited here is written."""
+        if isinstance(what, tuple) and what[0].time_left(time.monotonic_ns()) <= 0:
+            return Outcome.MOOT
         while (connection := pool.fit(self.connections, id_, self.told.streams)) is not None and (
                 not connection.waiting and self.closed(connection)):
             self.end(connection)
