--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -1,4 +1,5 @@
 import json
+import time
 import unittest
 
 from hypothesis import given, settings
@@ -6,7 +7,7 @@
 
 from tests.platform import event, instance
 from threadshift.coordinator.events import (
-    EventParser, EventSequence, InvalidEvent, MissingEvents, ServerSentEvent, parse_update)
+    LONGEST_LINE, EventParser, EventSequence, InvalidEvent, MissingEvents, ServerSentEvent, parse_update)
 from threadshift.coordinator.stream import Response
 from threadshift.interface import MS, State
 
@@ -33,6 +34,22 @@
             except (InvalidEvent, MissingEvents) as problem:
                 self.assertTrue(str(problem))
 
+    def test_a_large_event_in_small_reads_is_not_looked_through_at_each(self):
+        parser, size, piece = EventParser(), 3 << 20, 512
+        data, since = b"data: " + b"x" * size, time.process_time()
+        for at in range(0, len(data), piece):
+            self.assertEqual(parser.feed(data[at:at + piece]), [])
+        [event] = parser.feed(b"\n\n")
+        self.assertEqual(len(event.data), size)
+        self.assertLess(time.process_time() - since, 0.5)       # 20 s where each read copies all before it
+
+    def test_a_line_without_end_is_refused(self):
+        parser = EventParser()
+        with self.assertRaises(InvalidEvent):
+            for _ in range(LONGEST_LINE // 1_000 + 1):
+                parser.feed(b"x" * 1_000)
+        self.assertLessEqual(parser.size, LONGEST_LINE + 1_000)
+
     def test_an_event_that_ends_in_the_middle_is_none(self):
         self.assertEqual(EventParser().feed(b"id: 1\ndata: {}\n"), [])
 
--- a/threadshift/coordinator/events.py
+++ b/threadshift/coordinator/events.py
@@ -46,15 +46,15 @@
     """Cuts bytes into events; comments only show that the other side lives."""
 
     def __init__(self) -> None:
-        self.buffer = b""
+        self.pieces: list[bytes] = []      # of a line whose end has not come
+        self.size = 0                      # bytes in them
         self.id = ""
         self.data: list[str] = []
 
     def feed(self, data: bytes) -> list[ServerSentEvent]:
         """The events that data completes. Raises InvalidEvent."""
-        lines = (self.buffer + data).replace(b"\r\n", b"\n").split(b"\n")
-        self.buffer = lines.pop()
-        if len(self.buffer) > LONGEST_LINE or sum(map(len, self.data)) > LONGEST_LINE:
+        lines = self.complete_lines(data)
+        if self.size > LONGEST_LINE or sum(map(len, self.data)) > LONGEST_LINE:
             raise InvalidEvent(f"an event is over {LONGEST_LINE} bytes")
         found = []
         for line in lines:
@@ -71,6 +71,17 @@
                 self.data.append(value)
         return found
 
+    def complete_lines(self, data: bytes) -> list[bytes]:
+        """The lines that data ends. A list of thousands of workers comes in hundreds of reads: it is joined once."""
+        self.pieces.append(data)
+        self.size += len(data)
+        if b"\n" not in data:
+            return []
+        lines = b"".join(self.pieces).replace(b"\r\n", b"\n").split(b"\n")
+        self.pieces = [lines.pop()]
+        self.size = len(self.pieces[0])
+        return lines
+
 
 class ListUpdate(NamedTuple):
     """What one event says: the workers in it, and what is wrong with entries that could not be read."""
