A walk ends once all workers have come; where all look bad 128 of them are looked at

Seen: front ends silent for 1.4 s and more, no stall of their own noted before; a call that finds no fit worker walked on over all points of the ring though all workers had come, once for each function and each version of the ring. Ruled out: load orders, logs, SIGSTOP (none within a second).

Changed: choice.py walk() ends with the last member; the last resort of place() looks at 128 ready workers (all, in fleets of the usual size).

--- a/tests/test_thousands_of_workers.py
+++ b/tests/test_thousands_of_workers.py
@@ -15,12 +15,13 @@
 from tests.live import until
 from tests.platform import SETTINGS, Coordinator, Platform, Worker, event, instance
 from tests.processes import FrontEndProcess
+from threadshift.choice import Dispatcher
 from threadshift.coordinator.events import parse_update
 from threadshift.coordinator.stream import Response
 from threadshift.desk.desk import Asked
 from threadshift.frames.codec import ASK, FROM_WORKER, FULL, HOLD, INVOKE, encode
 from threadshift.gateway.fleet import JOIN_BATCH
-from threadshift.interface import MS
+from threadshift.interface import MS, SECOND, Deployment, Effect, Listing, NamespaceType, State
 from threadshift.node.descriptors import Descriptors
 
 WORKERS = 3_200            # the most that the operators' page names
@@ -177,6 +178,36 @@
         self.assertEqual((self.node.dialled, self.node.connected), (0, {}))
 
 
+class AllWorkersCold(unittest.TestCase):
+    """A fleet of which every worker has just started: calls find none that may be sent anything."""
+
+    WORKERS, CALLS, FUNCTIONS = 1_920, 200, 40
+
+    def test_a_call_does_not_walk_around_the_whole_ring(self):
+        # Half a second of processor time for one call where it did; its neighbours' requests lay unread meanwhile.
+        told = Deployment(
+            (NamespaceType("check", 100 * MS, 2_500 * MS, 1.0, 0.3, Effect.REPEATABLE),), front_ends=2, max_sends=4,
+            cold_share=0.2, cold_time=17 * SECOND, fall_multiple=2.0, longest_advice=SECOND)
+        now = 100 * SECOND
+        dispatcher = Dispatcher(1, told, now)
+        dispatcher.roster(now, [Listing(f"s-{n}", State.READY, since=now) for n in range(self.WORKERS)], full=True)
+        longest = 0.0
+        for number in range(self.CALLS):
+            since = time.process_time()
+            act = dispatcher.take(now, f"c{number}", "check", f"f{number % self.FUNCTIONS}", 2_500 * MS)
+            act.start(now)
+            longest = max(longest, time.process_time() - since)
+        self.assertLess(longest, 0.05)
+
+    def test_a_walk_still_comes_to_every_worker_once(self):
+        dispatcher = Dispatcher(1, Deployment((NamespaceType(
+            "check", 100 * MS, 2_500 * MS, 1.0, 0.3, Effect.REPEATABLE),)), 0)
+        names = [f"s-{n}" for n in range(50)]
+        dispatcher.roster(0, [Listing(name, State.READY) for name in names], full=True)
+        act = dispatcher.take(0, "c", "check", "f", SECOND)
+        self.assertEqual(sorted(worker.name for worker in dispatcher.walk(act.fn)), sorted(names))
+
+
 class ConnectionsOfManyWorkers(unittest.TestCase):
 
     def test_half_of_the_descriptors_are_for_workers_that_are_dialled_when_needed(self):
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -21,6 +21,7 @@
 
 EPSILON = 0.25             # room above the mean in flight; middle of the design's 0.1 to 0.5
 REACH = 16                 # fit stops that a walk looks at; past them a call is as badly off as at home
+FAR_REACH = 128            # ready stops looked at where all look bad; with thousands, a walk around takes long
 SKETCH_WIDTH, SKETCH_DEPTH = 4096, 4       # count-min cells a row, rows; the write-up's figures
 SKETCH_WINDOW, SKETCH_LEAST = 10 * SECOND, 100     # time, the design's, and calls that pass before a reset
 SKETCH_PRIOR = 50          # calls of nothing added to the sketch's total, as few calls make chance look hot
@@ -168,12 +169,12 @@
     def walk(self, fn: Function) -> Iterator[Worker]:
         """Distinct ready workers clockwise from its hash, worked out no further than asked for."""
         if fn.version != self.version:
-            fn.stops, fn.passed, fn.version = {}, 0, self.version
+            fn.stops, fn.version = {}, self.version
             fn.cursor = self.ring.after(fn.at)
         yield from [worker for worker in fn.stops if worker.ready]
-        while fn.passed < len(self.ring):
+        # Once all have come it ends: the points that are left, most of them, are of workers that came before.
+        while len(fn.stops) < self.ring.members:
             worker, fn.cursor = self.ring.next(fn.cursor)
-            fn.passed += 1
             if worker is not None and worker not in fn.stops:
                 fn.stops[worker] = None
                 if worker.ready:
@@ -331,7 +332,8 @@
                 break
         if not stops:
             # All look bad, by a shared cause: suspensions are set aside; cold workers stay guarded.
-            return next((worker for worker in self.walk(fn) if self.cold_room(worker, act, now)), None)
+            return next((worker for worker in islice(self.walk(fn), FAR_REACH)
+                         if self.cold_room(worker, act, now)), None)
         first, warm = stops[0], [worker for worker in stops if self.stands(worker, fn, now)]
         if not warm:
             coming = next((worker for worker in stops if worker.loading(fn)), None)
--- a/threadshift/ring.py
+++ b/threadshift/ring.py
@@ -60,6 +60,7 @@
         self.untidy = bytearray(SECTIONS)       # sections with entries out of order, or of workers removed
         self.untidied = SECTIONS                # from this one on tidy() has to look; SECTIONS: nothing to do
         self.workers: list[W | None] = []       # by number; None: removed
+        self.members = 0                        # workers that were not removed
         self.entries = 0                        # kept, those of removed workers included until they are dropped
 
     def __len__(self) -> int:
@@ -80,11 +81,13 @@
             sections[section].append(point & POINT_MASK | number)
             untidy[section] = 1
         self.entries += POINTS
+        self.members += 1
         return number
 
     def remove(self, number: int) -> None:
         """Takes a worker off the ring. Its entries are passed over until tidy() has come to them."""
         self.workers[number] = None
+        self.members -= 1
         self.untidied = 0
 
     def tidy(self) -> bool:
--- a/threadshift/state.py
+++ b/threadshift/state.py
@@ -40,8 +40,7 @@
     cells: list[int]             # its cell in each row of the sketch
     stops: dict[Worker, None] = field(default_factory=dict)     # its walk as far as worked out
     version: int = -1            # of the ring that the walk belongs to
-    passed: int = 0              # ring points that the walk took so far ...
-    cursor: Cursor = Cursor(0, 0)    # ... and where it stands
+    cursor: Cursor = Cursor(0, 0)    # the place on the ring where that walk stands
     turn: int = 0                # of the round-robin
     served: int = 0              # when it was last completed, anywhere
     pause: int = 0               # no load order before it
