Told to end while it starts, a front end does not listen; links stopped in a dial; tests

Found by reading: a SIGTERM that comes while the list is taken in was heard only after it, so the time until the kill was counted from too late; the front end now ends before it listens. A link stopped while its dial came up kept that connection, counted no more. Both tests fail on the text before.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -631,6 +631,18 @@
         steps = it.tick(1700 * MS)                  # ... until there is none
         self.assertEqual(does(steps), [Do.REJECT])
 
+    def test_a_load_that_was_ordered_is_coming_until_it_ended(self):
+        it = front_end(2)
+        act = it.take(0, "c", Effect.REPEATABLE.value, "f", SECOND)
+        worker = it.fleet[0]
+        self.assertTrue(it.hold(worker, act.fn, 0))
+        self.assertEqual(it.coming(0), {"f"})
+        worker.until = SECOND       # suspended: what it was to load may never come
+        self.assertEqual(it.coming(0), set())
+        worker.until = 0
+        it.held(MS, worker.name, "f", Outcome.COMPLETED, 1)
+        self.assertEqual(it.coming(MS), set())
+
     def test_calls_that_ended_while_they_waited_take_no_place(self):
         it = front_end(4)
         first, steps = call(it, "a", 0, lanes=1)
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -5,6 +5,7 @@
 import signal
 import tempfile
 import unittest
+from unittest import mock
 
 import gevent
 
@@ -74,8 +75,9 @@
     def test_nothing_of_it_is_written(self):
         with Platform() as it:
             held = Held(it.node.desk, "00000000000000d1", Call("check", "00000000000000f1", 0), 0, deadline=1)
-            self.assertEqual(it.node.send("s-0", held, 0), Outcome.MOOT)
             link = it.node.links["s-0"]
+            with mock.patch.dict(it.node.links, {"s-0": mock.Mock()}):
+                self.assertEqual(it.node.send("s-0", held, 0), Outcome.MOOT)     # whatever the link looks at
             id_ = bytes.fromhex(held.ivk)
             self.assertEqual(link.place(id_, (held, 0), request_now(id_, held)), Outcome.MOOT)
             self.assertEqual(it.call()[0], 200)
--- a/tests/test_thousands_of_workers.py
+++ b/tests/test_thousands_of_workers.py
@@ -7,15 +7,17 @@
 import tempfile
 import time
 import unittest
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
+from unittest import mock
 
 import gevent
+import gevent.event
 from gevent import socket
 
 from tests.live import until
 from tests.platform import SETTINGS, Coordinator, Platform, Worker, event, instance
 from tests.processes import FrontEndProcess
-from threadshift.choice import Dispatcher
+from threadshift.choice import FAR_REACH, Dispatcher
 from threadshift.coordinator.events import parse_update
 from threadshift.coordinator.stream import Response
 from threadshift.desk.desk import Asked
@@ -23,6 +25,7 @@
 from threadshift.gateway.fleet import JOIN_BATCH
 from threadshift.interface import MS, SECOND, Deployment, Effect, Listing, NamespaceType, State
 from threadshift.node.descriptors import Descriptors
+from threadshift.ring import POINTS
 
 WORKERS = 3_200            # the most that the operators' page names
 FRONT_ENDS = 3
@@ -168,6 +171,14 @@
         self.assertEqual(len(ready), self.WORKERS - 1 + len(new) - 1)
         self.assertNotIn(f"s-{last}", ready)
 
+    def test_a_worker_that_is_gone_before_its_turn_is_not_taken_in(self):
+        new = range(self.WORKERS, self.WORKERS + 2 * JOIN_BATCH)
+        self.node.on_list_update(parse_update(event(2, *map(self.entry, new))))
+        gone = f"s-{new[-1]}"
+        self.node.change([self.node.membership.ends(gone, State.GONE)])      # as where a list lacks it at last
+        until(lambda: not self.node.joining)
+        self.assertNotIn(gone, {worker.name for worker in self.node.desk.dispatcher.fleet})
+
     def test_connections_are_counted_as_they_come_and_go(self):
         for number in range(12):
             self.platform.call(id_=f"{number:016x}", item=f"{number:016x}")
@@ -178,6 +189,53 @@
         self.assertEqual((self.node.dialled, self.node.connected), (0, {}))
 
 
+class WhileItStarts(unittest.TestCase):
+
+    def test_the_list_is_taken_in_before_it_listens(self):
+        platform = Platform(scripts=())
+        listening = []
+        prepare = platform.node.prepare
+        with mock.patch.object(platform.node, "prepare",
+                               lambda: (listening.append(platform.node.listening), prepare())), platform:
+            self.assertEqual(listening, [None])
+            self.assertIsNotNone(platform.node.listening)
+
+
+class ToldToEndWhileItStarts(unittest.TestCase):
+
+    def test_it_never_listens(self):
+        # Its time until the kill runs from the signal, not from when the list has been taken in.
+        platform = Platform(scripts=())
+        self.addCleanup(platform.coordinator.stop)
+        with mock.patch.object(platform.node, "prepare", platform.node.end):
+            platform.node.run()
+        self.assertIsNone(platform.node.listening)
+        names = [name for name, _ in platform.log.events]
+        self.assertNotIn("started", names)
+        self.assertEqual(names[-1], "ended")
+
+
+class StoppedWhileItDials(unittest.TestCase):
+
+    def test_a_connection_that_comes_up_then_is_not_counted(self):
+        with Platform() as it:
+            link = it.node.links["s-0"]
+            came_up, go_on = gevent.event.Event(), gevent.event.Event()
+
+            def slow_connect(address, limit):
+                came_up.set()
+                with gevent.Timeout(5), suppress(gevent.GreenletExit):
+                    go_on.wait()
+                return socket.create_connection(tuple(address)[:2])
+
+            with mock.patch("threadshift.frames.link.connect", slow_connect):
+                link.dial()
+                self.assertTrue(came_up.wait(5))
+                it.node.links.pop("s-0").stop()
+                gevent.sleep(0.05)
+            self.assertEqual((it.node.dialled, link.connections), (0, []))
+
+
 class AllWorkersCold(unittest.TestCase):
     """A fleet of which every worker has just started: calls find none that may be sent anything."""
 
@@ -199,13 +257,25 @@
             longest = max(longest, time.process_time() - since)
         self.assertLess(longest, 0.05)
 
-    def test_a_walk_still_comes_to_every_worker_once(self):
+    def test_a_call_that_finds_no_room_looks_at_some_workers_only(self):
+        dispatcher, act = self.one_call(self.WORKERS)
+        with mock.patch.object(dispatcher, "cold_room", return_value=False) as looked, mock.patch.object(
+                dispatcher, "fit", return_value=False):
+            act.start(0)
+        self.assertEqual(looked.call_count, FAR_REACH)
+
+    def test_a_walk_comes_to_every_worker_once_and_ends(self):
+        dispatcher, act = self.one_call(50)
+        with mock.patch.object(dispatcher.ring, "next", wraps=dispatcher.ring.next) as steps:
+            self.assertEqual(sorted(worker.name for worker in dispatcher.walk(act.fn)),
+                             sorted(f"s-{n}" for n in range(50)))
+        self.assertLess(steps.call_count, 50 * POINTS // 4)
+
+    def one_call(self, workers):
         dispatcher = Dispatcher(1, Deployment((NamespaceType(
             "check", 100 * MS, 2_500 * MS, 1.0, 0.3, Effect.REPEATABLE),)), 0)
-        names = [f"s-{n}" for n in range(50)]
-        dispatcher.roster(0, [Listing(name, State.READY) for name in names], full=True)
-        act = dispatcher.take(0, "c", "check", "f", SECOND)
-        self.assertEqual(sorted(worker.name for worker in dispatcher.walk(act.fn)), sorted(names))
+        dispatcher.roster(0, [Listing(f"s-{n}", State.READY) for n in range(workers)], full=True)
+        return dispatcher, dispatcher.take(0, "c", "check", "f", SECOND)
 
 
 class ConnectionsOfManyWorkers(unittest.TestCase):
--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -289,6 +289,9 @@
             return
         if self.queue:
             self.owner.settle()             # word that a client is gone, or that the worker drains, may lie unread
+        if self.stopped:
+            sock.close()                    # while it came up; it is counted no more
+            return
         sock.settimeout(None)               # silence of a worker is judged by the decisions alone
         connection = Connection(sock, self.told)
         self.redial.up(connection.heard)
--- a/threadshift/node/front.py
+++ b/threadshift/node/front.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+import gevent
 from gevent import socket
 from gevent.pool import Group
 
@@ -35,6 +36,7 @@
 from threadshift.timer import ticks
 
 TICK = 5 * MS              # pace of the timer; what falls due between two ticks has one of its own
+SIGNALS_HEARD = MS         # for a signal that came while the list was taken in
 TELL = 10 * SECOND         # between two lines on how it goes
 LIST_WAIT = 4 * SECOND     # for a list with a worker in it: as long as a lost coordinator may take to be found again
 
@@ -178,6 +180,10 @@
         """Serves until told to end and what is held has its answers. Raises OSError where it cannot listen."""
         self.greenlets.spawn(self.coordinator.run)    # before the links dial: calls wait for the coordinator's answer
         self.prepare()
+        gevent.sleep(SIGNALS_HEARD / SECOND)
+        if self.leaving.since:          # told to end before anything could be taken
+            self.stop_all()
+            return
         sock = listener(self.told.listen, shared=False)
         self.door.looks.start()
         self.listening, self.ready_by = sock, time.monotonic_ns() + LIST_WAIT
@@ -189,6 +195,9 @@
         self.note("draining", owed=self.desk.owed, connections=len(self.door.connections))
         self.keep_time(lambda: self.stage() is Stage.DONE)
         self.door.end(sock)
+        self.stop_all()
+
+    def stop_all(self) -> None:
         for link in self.links.values():
             link.stop()
         self.greenlets.kill()
