--- a/threadshift/gateway/fleet.py
+++ b/threadshift/gateway/fleet.py
@@ -187,8 +187,7 @@
         names = list(islice(self.joining, most))
         for name in names:
             del self.joining[name]
-        joined = [one for name in names if (one := self.membership.known.get(name)) is not None
-                  and self.membership.state(one) is State.READY]
+        joined = [one for name in names if (one := self.membership.known.get(name)) is not None]
         self.apply_listings([self.membership.listing(one) for one in joined])
         self.relink(one.entry for one in joined)
 
