--- a/threadshift/invoke/looks.py
+++ b/threadshift/invoke/looks.py
@@ -24,6 +24,7 @@
 
     def __init__(self) -> None:
         self.before = self.last = self.idle = self.idle_before = 0
+        self.interrupted = False         # the wait before the last one ended by a stop
         loop = gevent.get_hub().loop
         self.watcher, self.watcher_idle = loop.check(), loop.prepare(priority=loop.MINPRI)
 
@@ -47,16 +48,16 @@
     def note_look(self, now: int) -> None:
         """The loop has looked. A wait in which the process was stopped may have ended with EINTR and without a look:
         what the next one finds may have come during the stop, so the look before that still counts."""
-        interrupted = self.last - self.idle_before >= STOOD
-        if not interrupted:
+        self.interrupted = self.last - self.idle_before >= STOOD
+        if not self.interrupted:
             self.before = self.last
         self.last, self.idle_before = now, self.idle
 
     def unread(self, now: int) -> int:
         """ns for which what is read now may have waited; 0 while looks are not noted. A loop that waited found it
-        as it came: counted from the look before, a call of 70 ms would lose a tenth of its time for nothing. After a
-        long round that is not believed: the process may just have been preempted in a wait that found it at once."""
+        as it came: counted from the look before, a call of 70 ms would lose a tenth of its time for nothing. After an
+        interrupted wait that is not believed: the process may have been preempted in a wait that found it at once."""
         if not self.before:
             return 0
-        waited = WAITED <= self.last - self.idle < STOOD and self.idle - self.before < STOOD
+        waited = WAITED <= self.last - self.idle < STOOD and not self.interrupted
         return now - (self.last if waited else self.before)
