Count a request's time from one reading of the clock, not from two

Cause: the time for which a request had waited was subtracted from its time left at one reading of the clock, and its deadline was set from another. A stop of the process between the two was given to the client. The same stood in the review of postponed requests, in the calls of the daemon and in those of batches.

Change: a request carries the earliest time at which it may have been received, and the engine sets its deadline from that, whenever it is admitted. Stops between any two steps are now the client's time by construction.

Tests: StoppedDuringTheAdmission fails in all three cases on the text before (899 and 838 ms passed on where 700 are left; a deadline 100 ms too late in the daemon). block_process moved to tests/live.py, as a second module uses it.

--- a/tests/live.py
+++ b/tests/live.py
@@ -1,4 +1,5 @@
 """A gateway and its stand-ins in one process, on free loopback ports."""
+import select
 from contextlib import closing
 
 import gevent
@@ -79,6 +80,11 @@
         pass
 
 
+def block_process(seconds=0.15):
+    """Blocks the whole process for long enough to be noticed as a stall."""
+    select.select([], [], [], seconds)
+
+
 def until(condition, seconds=5.0):
     """Waits until condition() is true; fails if it does not become true in time."""
     with gevent.Timeout(seconds, AssertionError(f"not within {seconds} s")):
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -4,7 +4,6 @@
 import json
 import os
 import resource
-import select
 import signal
 import socket as plain
 import sys
@@ -20,7 +19,7 @@
 from gevent import socket, subprocess
 from gevent.event import Event
 
-from tests.live import free_port, until
+from tests.live import block_process, free_port, until
 from tests.platform import (
     SETTINGS, Client, Coordinator, Platform, Worker, begin, configuration, event, instance, params, request, serve)
 from tests.test_engine import make_call, make_engine
@@ -56,11 +55,6 @@
     until(lambda: it.running.ready() or time.monotonic_ns() - since > QUIET_BEFORE_END)
 
 
-def block_process(seconds=0.15):
-    """Blocks the whole process for long enough to be noticed as a stall."""
-    select.select([], [], [], seconds)
-
-
 def connect_natively(address):
     """A client socket that works without the event loop: what it sends stays unread until the loop runs."""
     return plain.create_connection(tuple(address)[:2])
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -4,12 +4,13 @@
 """
 import signal
 import tempfile
+import time
 import unittest
 from unittest import mock
 
 import gevent
 
-from tests.live import until
+from tests.live import Live, block_process, until
 from tests.platform import Coordinator, Platform, Worker, configuration, event, instance
 from tests.processes import FrontEndProcess
 from threadshift.engine.engine import Call, PendingRequest
@@ -22,6 +23,7 @@
 TOLERANCE_MS = 150         # that the protocol allows on the time left that is stated to a worker
 STOPS = 6
 SHORT_TIMEOUT_MS = 200.0
+BLOCKED_MS = 200
 
 
 class StoppedWhileItWaits(unittest.TestCase):
@@ -85,6 +87,50 @@
             self.assertEqual(len(it.workers[0].frames_with(INVOKE)), 1)
 
 
+class StoppedDuringTheAdmission(unittest.TestCase):
+    """Guards against giving a request the time of a stop between the reading of the clock and its admission."""
+
+    @staticmethod
+    def stopped_after(act, value=None):
+        """The act, followed by a stop of the process."""
+        def stopped(*arguments):
+            done = act(*arguments)
+            block_process(BLOCKED_MS / 1_000)
+            return done if value is None else value
+        return stopped
+
+    def assert_time_passed_on(self, it, client):
+        client.ask(left=str(LEFT_MS))
+        self.assertEqual(client.answer()[0], 200)
+        frame, = it.workers[0].frames_with(INVOKE)
+        self.assertLessEqual(int(frame.fields["wait"]), LEFT_MS - BLOCKED_MS)
+
+    def test_a_request_on_the_platform(self):
+        with Platform() as it:
+            client = it.client()
+            until(lambda: it.node.listener.connections)
+            it.node.poll_monitor.unread_time = self.stopped_after(it.node.poll_monitor.unread_time)
+            self.assert_time_passed_on(it, client)
+
+    def test_a_postponed_request(self):
+        with Platform() as it:
+            client = it.client()
+            until(lambda: it.node.listener.connections)
+            it.node.poll_monitor.unread_time = lambda now: poll_monitor.STALL_THRESHOLD
+            it.node.listener.has_unread_input = self.stopped_after(it.node.listener.has_unread_input)
+            self.assert_time_passed_on(it, client)
+
+    def test_calls_of_the_daemon(self):
+        with Live() as live:
+            admitted, admit = [], live.front.engine.admit
+            live.front.engine.admit = lambda *arguments: admitted.append(admit(*arguments)) or admitted[-1]
+            live.front.api.poll_monitor.unread_time = self.stopped_after(live.front.api.poll_monitor.unread_time)
+            for headers in ({}, {"prefer": "respond-async"}):
+                sent_at = time.monotonic_ns()
+                live.call("f", time_left=str(LEFT_MS), **headers)
+                self.assertLess(admitted[-1].deadline, sent_at + (LEFT_MS + BLOCKED_MS // 2) * MS)
+
+
 class SignalsInSeries(unittest.TestCase):
 
     def test_further_signals_do_not_change_how_the_process_ends(self):
--- a/threadshift/engine/engine.py
+++ b/threadshift/engine/engine.py
@@ -175,12 +175,18 @@
 
     # Requests and events.
 
-    def admit(self, now: int, request_id: str, call: Call, client: Any = None) -> PendingRequest:
-        """Takes over a call, whose type must be known. From here on it gets exactly one final answer."""
+    def admit(self, now: int, request_id: str, call: Call, client: Any = None,
+              received_at: int | None = None) -> PendingRequest:
+        """Takes over a call, whose type must be known. From here on it gets exactly one final answer.
+
+        Its time left counts from `received_at`, which is `now` where it is not given: however long the caller took
+        since it read its clock, the deadline stays the client's."""
         now = self.advance_clock(now)
+        deadline = (now if received_at is None else received_at) + call.left
         if self.final_deadline is not None:
-            call = call._replace(left=min(call.left, self.final_deadline - now))
-        pending = PendingRequest(self, request_id, call, now, now + max(0, call.left), client=client)
+            deadline = min(deadline, self.final_deadline)
+        call = call._replace(left=deadline - now)
+        pending = PendingRequest(self, request_id, call, now, max(now, deadline), client=client)
         pending.activation = self.dispatcher.admit(
             now, request_id, call.type, call.function, call.left, tenant=call.tenant, cost_hint=call.work,
             lanes=call.lanes, load_time=call.load_time, is_client_retry=call.again)
--- a/threadshift/fastcgi/listener.py
+++ b/threadshift/fastcgi/listener.py
@@ -145,13 +145,14 @@
         parsed = requests.parse_request(parameters, request.body, self.types)
         request.pending, request.parameters, request.body = True, {}, b""
         # The request may have waited unread since the event loop polled last, while its client's time went on.
-        unread = max(unread, self.poll_monitor.unread_time(time.monotonic_ns()))
+        now = time.monotonic_ns()
+        unread = max(unread, self.poll_monitor.unread_time(now))
         if unread < STALL_THRESHOLD and not self.front_end.list_is_stale() and not self.front_end.has_unread_update():
-            self.admit(request, parsed, unread)
+            self.admit(request, parsed, now - unread)
         elif len(self.postponed) + len(self.engine.requests) >= self.max_activations:
             self.refuse(request, FULL, parsed.id)
         else:
-            self.postponed.add(request, parsed, unread)
+            self.postponed.add(request, parsed, now - unread)
 
     # The owner of postponed requests.
 
@@ -165,25 +166,26 @@
     def refuse_late(self, request: Request, parsed: requests.ParsedRequest) -> None:
         self.refuse(request, LATE, parsed.id)
 
-    def admit_postponed(self, request: Request, parsed: requests.ParsedRequest, unread: int) -> None:
+    def admit_postponed(self, request: Request, parsed: requests.ParsedRequest, received_at: int) -> None:
         """Admits or refuses a request that has waited long enough."""
         try:
-            self.admit(request, parsed, unread)
+            self.admit(request, parsed, received_at)
         except InvalidRequest as problem:
             request.connection.refuse_invalid(request, problem)
         except Exception as fault:      # a fault of this program ends only this request, and is logged
             self.note("fault", level="error", **exception_fields(fault))
             self.refuse(request, FAULT)
 
-    def admit(self, request: Request, parsed: requests.ParsedRequest, unread: int) -> None:
-        """Refuses a request or gives it to the engine. Raises InvalidRequest."""
+    def admit(self, request: Request, parsed: requests.ParsedRequest, received_at: int) -> None:
+        """Refuses a request or gives it to the engine. Its time counts from `received_at`. Raises InvalidRequest."""
         if parsed.id in self.engine.requests:
             raise InvalidRequest(409, "a request with this id is open")
-        call = parsed.call._replace(left=parsed.call.left - unread)
-        if self.closing or call.left <= 0 or len(self.engine.requests) >= self.max_activations:
-            self.refuse(request, CLOSING if self.closing else LATE if call.left <= 0 else FULL, parsed.id)
+        now = time.monotonic_ns()
+        late = received_at + parsed.call.left <= now
+        if self.closing or late or len(self.engine.requests) >= self.max_activations:
+            self.refuse(request, CLOSING if self.closing else LATE if late else FULL, parsed.id)
             return
-        request.pending = self.engine.admit(time.monotonic_ns(), parsed.id, call, request)
+        request.pending = self.engine.admit(now, parsed.id, parsed.call, request, received_at)
 
     def refuse(self, request: Request, reason: str, id_: str = "") -> None:
         """Refuses a request that was not admitted: nothing ran, so its client may safely retry."""
--- a/threadshift/fastcgi/postponed.py
+++ b/threadshift/fastcgi/postponed.py
@@ -31,16 +31,12 @@
 
     request: Any
     parsed: ParsedRequest
-    unread: int                 # ns for which it lay unread before
+    received_at: int            # the earliest time at which it may have arrived, monotonic ns
     since: int                  # when it began to wait, monotonic ns
 
-    def waited(self, now: int) -> int:
-        """Returns the ns since it arrived, as far as that is known."""
-        return self.unread + now - self.since
-
     def expired(self, now: int) -> bool:
         """Tells whether its time is about to end."""
-        return self.parsed.call.left - self.waited(now) <= ANSWER_MARGIN
+        return self.received_at + self.parsed.call.left - now <= ANSWER_MARGIN
 
 
 class FrontEnd(Protocol):
@@ -59,7 +55,7 @@
 
     def is_open(self, request: Any) -> bool: ...
     def has_unread_input(self, request: Any) -> bool: ...
-    def admit_postponed(self, request: Any, parsed: ParsedRequest, unread: int) -> None: ...
+    def admit_postponed(self, request: Any, parsed: ParsedRequest, received_at: int) -> None: ...
     def refuse_late(self, request: Any, parsed: ParsedRequest) -> None: ...
 
 
@@ -73,11 +69,11 @@
     def __len__(self) -> int:
         return len(self.waiting)
 
-    def add(self, request: Any, parsed: ParsedRequest, unread: int) -> None:
+    def add(self, request: Any, parsed: ParsedRequest, received_at: int) -> None:
         """Adds a request and starts the reviews with the first one."""
         if not self.waiting:
             self.spawn(self.run)
-        self.waiting.append(Postponed(request, parsed, unread, time.monotonic_ns()))
+        self.waiting.append(Postponed(request, parsed, received_at, time.monotonic_ns()))
 
     def run(self) -> None:
         """Reviews the waiting requests until there is none."""
@@ -97,7 +93,7 @@
             elif stale or self.must_wait_for_input(each, now):
                 self.waiting.append(each)
             else:
-                self.owner.admit_postponed(each.request, each.parsed, each.waited(now))
+                self.owner.admit_postponed(each.request, each.parsed, each.received_at)
 
     def must_wait_for_input(self, each: Postponed, now: int) -> bool:
         """Tells whether input that arrived after the request, or an update of the worker list, is still unread."""
--- a/threadshift/gateway/batch_service.py
+++ b/threadshift/gateway/batch_service.py
@@ -148,18 +148,18 @@
 
     # Calls.
 
-    def accept(self, exchange: Exchange, call: Call, batch: str) -> None:
-        """Stores a deferred call of a batch, then answers that it is accepted."""
+    def accept(self, exchange: Exchange, call: Call, batch: str, received_at: int) -> None:
+        """Stores a deferred call of a batch, then answers that it is accepted. Its time counts from `received_at`."""
         if self.last_failure:
             raise Problem(503, "cannot-be-kept", "the disk on which batches are stored fails")
         now, activation_id = time.monotonic_ns(), self.front.api.new_id()
         self.last_order += 1
-        entry = BatchCall(activation_id, call.tenant, batch, self.last_order, now + call.left, call.type)
+        entry = BatchCall(activation_id, call.tenant, batch, self.last_order, received_at + call.left, call.type)
         deferred_call = self.front.deferred_calls.add(activation_id, call.tenant)
         effect = next(each.effect for each in self.front.config.deployment.types if each.name == call.type)
         stopped = self.queue.open_cancels.get((call.tenant, batch))
         taken = make_record("take", ivk=activation_id, tenant=call.tenant, batch=batch, order=entry.order,
-                       at=time.time_ns(), left=call.left, effect=effect.value,
+                       at=time.time_ns(), left=entry.deadline - now, effect=effect.value,
                        parked=stopped.id if stopped else "", call=call._asdict())
 
         def on_written(is_stored: bool) -> None:
--- a/threadshift/invoke/api.py
+++ b/threadshift/invoke/api.py
@@ -62,7 +62,7 @@
 class BatchRequests(Protocol):
     """Handles calls of batches and requests about them, on front ends that have peers."""
 
-    def accept(self, exchange: Exchange, call: Call, batch: str) -> None: ...
+    def accept(self, exchange: Exchange, call: Call, batch: str, received_at: int) -> None: ...
     def owns(self, pending: PendingRequest) -> bool: ...
     def on_answered(self, pending: PendingRequest) -> None: ...
     def handle(self, exchange: Exchange, action: Callable[[], dict[str, Any]]) -> None: ...
@@ -179,16 +179,16 @@
         call = requests.parse_call(path, exchange.headers, exchange.body, self.functions)
         preference = requests.parse_preference(exchange.headers.get("prefer", ""))
         # The request may have been unread since the event loop's last poll. Its client's time ran meanwhile.
-        unread_time = max(exchange.unread_time, self.poll_monitor.unread_time(time.monotonic_ns()))
+        now = time.monotonic_ns()
+        unread_time = max(exchange.unread_time, self.poll_monitor.unread_time(now))
+        received_at = now - unread_time
         if unread_time >= STALL_THRESHOLD:
             # News of a draining worker, from the worker list or the worker itself, may be unread too, and rule 3 (no
             # sends to a worker known to drain) counts from its arrival. Without this wait, calls read first after a
             # stall went to workers whose drain had been announced long before.
             gevent.sleep(CATCH_UP_TIME / SECOND)
-            unread_time += CATCH_UP_TIME
         self.read_updates()
-        call = call._replace(left=call.left - unread_time)
-        if call.left <= 0:
+        if received_at + call.left <= time.monotonic_ns():
             raise self.refusal(503, "too-late", "the time left for the call was up before it was read", tenant)
         if self.closing:
             raise self.refusal(503, "closing", "this front end is shutting down", tenant)
@@ -200,25 +200,25 @@
             raise self.refusal(429, "too-many-deferred", "the limit of deferred calls is reached", tenant)
         batch = requests.batch_name(exchange.headers, preference)
         if batch:
-            self.require_batch_service().accept(exchange, call, batch)
+            self.require_batch_service().accept(exchange, call, batch, received_at)
             return
         self.capacity.acquire(tenant)
         if preference.deferred:
-            self.accept_deferred_call(exchange, call)
+            self.accept_deferred_call(exchange, call, received_at)
             return
         exchange.pending = True        # the call may be answered before admit() returns
-        exchange.pending = self.engine.admit(time.monotonic_ns(), self.new_id(), call, exchange)
+        exchange.pending = self.engine.admit(time.monotonic_ns(), self.new_id(), call, exchange, received_at)
 
     def refusal(self, status: int, kind: str, detail: str, tenant: str) -> Problem:
         """Counts a refusal and returns the problem to raise."""
         self.refusal_counters.record(time.monotonic_ns(), kind, self.capacity.key(tenant))
         return rejection(status, kind, detail, next(self.retry_delays))
 
-    def accept_deferred_call(self, exchange: Exchange, call: Call) -> None:
+    def accept_deferred_call(self, exchange: Exchange, call: Call, received_at: int) -> None:
         activation_id = self.new_id()
         deferred_call = self.deferred_calls.add(activation_id, call.tenant)
         exchange.respond(requests.accepted_response(activation_id, self.base_url))
-        self.engine.admit(time.monotonic_ns(), activation_id, call, deferred_call)
+        self.engine.admit(time.monotonic_ns(), activation_id, call, deferred_call, received_at)
 
     def collect_answer(self, exchange: Exchange, activation_id: str) -> None:
         """Answers with the final answer of a deferred call, waiting for it if the client asks to."""
