State the time left in a frame at the moment when it is written

What callers saw: a worker was told a time left from before a stop of the front end, and a request whose time had ended during the stop was sent all the same.

Cause: the frame of a send was made when the engine decided, and written after a connection had been chosen and checked; in the daemon a greenlet of its own writes it one iteration of the loop later. A stop between the two was given to the client. Only frames that had waited for a full socket got the time that was left then.

Change: whatever is about to be written states the time left right before the write, again if 5 ms have passed since, and a send without any time left is held back; the engine ends it as never sent.

Tests: StoppedBeforeTheWrite fails in all three cases on the text before (899 and 900 ms stated where 700 are left; a send written after its deadline).

--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 import gevent
+from gevent import socket
 
 from tests.live import Live, block_process, until
 from tests.platform import Coordinator, Platform, Worker, configuration, event, instance
@@ -18,6 +19,8 @@
 from threadshift.frames.link import current_invoke_frame
 from threadshift.interface import MS, SECOND, Outcome
 from threadshift.invoke import poll_monitor
+from threadshift.links.outbox import Outbox
+from threadshift.links.sockets import write_out
 
 LEFT_MS, STOPPED_MS = 900, 400
 TOLERANCE_MS = 150         # that the protocol allows on the time left that is stated to a worker
@@ -87,6 +90,54 @@
             self.assertEqual(len(it.workers[0].frames_with(INVOKE)), 1)
 
 
+class StoppedBeforeTheWrite(unittest.TestCase):
+    """Guards against frames that state the time left from before a stop, between their making and their write."""
+
+    @staticmethod
+    def stopped_before_first(act):
+        """The act, before whose first call the process is stopped."""
+        stops = [BLOCKED_MS]
+
+        def stopped(*arguments):
+            if stops:
+                block_process(stops.pop() / 1_000)
+            return act(*arguments)
+        return stopped
+
+    def frames_after_stop(self, left_ms):
+        """The frames that the worker receives of a send with so much time left, around a stop before its write."""
+        with Platform() as it:
+            link = it.node.links["s-0"]
+            outbox = link.connections[0].outbox
+            pending = PendingRequest(it.node.engine, "00000000000000d1", Call("check", "00000000000000f1", 0), 0,
+                                     deadline=time.monotonic_ns() + left_ms * MS)
+            with mock.patch.object(outbox, "chunk", self.stopped_before_first(outbox.chunk)):
+                self.assertIsNone(link.invoke(pending, 0, left_ms * MS))
+            self.assertEqual(link.withdraw(pending, 0), left_ms <= BLOCKED_MS)
+            self.assertEqual(it.call()[0], 200)
+            return [each for each in it.workers[0].frames_with(INVOKE) if each.id.hex() == pending.id]
+
+    def test_the_time_left_excludes_the_stop(self):
+        frame, = self.frames_after_stop(LEFT_MS)
+        self.assertLessEqual(int(frame.fields["wait"]), LEFT_MS - BLOCKED_MS)
+
+    def test_nothing_is_written_once_the_time_is_up(self):
+        self.assertEqual(self.frames_after_stop(BLOCKED_MS // 2), [])
+
+    def test_frames_of_the_daemon_too(self):
+        ours, peer = socket.socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(peer.close)
+        outbox, deadline = Outbox(1 << 10), time.monotonic_ns() + LEFT_MS * MS
+
+        def state():
+            return b"%06d" % ((deadline - time.monotonic_ns()) // MS)
+        outbox.put(1, state())
+        with mock.patch.object(outbox, "chunk", self.stopped_before_first(outbox.chunk)):
+            write_out(ours, outbox, SECOND, lambda: outbox.is_unsent(1) and outbox.replace(1, state()))
+        self.assertLessEqual(int(peer.recv(64)), LEFT_MS - BLOCKED_MS)
+
+
 class StoppedDuringTheAdmission(unittest.TestCase):
     """Guards against giving a request the time of a stop between the reading of the clock and its admission."""
 
--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -97,11 +97,17 @@
         self.reader: gevent.Greenlet | None = None
 
     def refresh(self) -> None:
-        """Updates the time left in the requests that waited for the socket to become writable."""
+        """Updates the time left in the requests that are not written yet, and holds back those without any."""
+        now = time.monotonic_ns()
         for id_ in self.outbox.unwritten:
             receiver = self.in_flight.get(id_)
-            if isinstance(receiver, tuple):
-                self.outbox.replace(id_, current_invoke_frame(id_, receiver[0]))
+            if not isinstance(receiver, tuple):
+                continue
+            left = receiver[0].time_left(now)
+            if left > 0:
+                self.outbox.replace(id_, invoke_frame(id_, receiver[0].call, left))
+            else:
+                self.outbox.hold_back(id_)      # the engine ends it, as its deadline has passed
 
 
 class Link:
--- a/threadshift/links/link.py
+++ b/threadshift/links/link.py
@@ -274,13 +274,16 @@
                     self.handle_frame(frame)
 
     def update_time_left(self) -> None:
-        """Sets the time left in all queued calls, which is less now than when they were queued."""
+        """Sets the time left in all queued calls, less now than when they were queued; holds back those without any."""
         now = time.monotonic_ns()
         for id_ in self.outbox.unwritten:
             receiver = self.receivers.get(id_)
             if isinstance(receiver, tuple):
-                fields = invoke_fields(receiver[0], receiver[0].time_left(now))
-                self.outbox.replace(id_, pack({"kind": "invoke", "id": id_, **fields}))
+                left = receiver[0].time_left(now)
+                if left > 0:
+                    self.outbox.replace(id_, pack({"kind": "invoke", "id": id_, **invoke_fields(receiver[0], left)}))
+                else:
+                    self.outbox.hold_back(id_)      # the engine ends it, as its deadline has passed
 
     def write(self) -> None:
         """Writes queued frames. A worker that takes no byte within the write limit is disconnected."""
--- a/threadshift/links/outbox.py
+++ b/threadshift/links/outbox.py
@@ -41,6 +41,13 @@
         entry[1] = b""      # the empty entry is skipped; removing it would move the others
         return True
 
+    def hold_back(self, key: Any) -> None:
+        """Takes a frame of which no byte is written out of the queue. It stays known as not written."""
+        entry = self.unwritten[key]
+        self.size -= len(entry[1])
+        entry[:] = None, b""
+        self.unwritten[key] = [key, b""]
+
     def replace(self, key: Any, frame: bytes) -> None:
         """Replaces a frame of which no byte is written."""
         entry = self.unwritten[key]
--- a/threadshift/links/sockets.py
+++ b/threadshift/links/sockets.py
@@ -17,6 +17,8 @@
 READ_SIZE = 64 << 10       # bytes a read; many usual frames or requests fit
 BACKLOG = 1024             # connections that the kernel queues until they are accepted
 ACCEPT_PAUSE = 100 * MS    # after an accept that failed because no file descriptor was free
+MAX_STATEMENT_AGE = 5 * MS # of the time left that a frame states when it is written
+MAX_STATEMENTS = 3         # until a frame is written all the same, as stating the time of very many takes long
 
 
 def listener(address: Address, shared: bool) -> socket.socket:
@@ -65,19 +67,31 @@
         yield client
 
 
+def current_chunk(outbox: Outbox, refresh: Callable[[], None]) -> bytes:
+    """The next bytes to write. refresh() updates what frames state of the time left.
+
+    It is called again where the process was stopped since: that time is not left any more."""
+    for _ in range(MAX_STATEMENTS):
+        stated_at = time.monotonic_ns()
+        refresh()
+        chunk = outbox.chunk()
+        if time.monotonic_ns() - stated_at < MAX_STATEMENT_AGE:
+            break
+    return chunk
+
+
 def write_out(sock: socket.socket, outbox: Outbox, limit: int, refresh: Callable[[], None] = lambda: None) -> None:
     """Writes what waits in the outbox. Raises OSError where the peer takes no byte for `limit` ns.
 
     Each chunk is cut when it can be written, not before. Otherwise a frame that is withdrawn during the wait would
-    be sent all the same, and its bytes would be counted as those of other frames. refresh() is called after each
-    wait.
+    be sent all the same, and its bytes would be counted as those of other frames. refresh() is called before each
+    write.
     """
-    while chunk := outbox.chunk():
+    while chunk := current_chunk(outbox, refresh):
         try:
             outbox.wrote(sock.send(chunk, 0, 0.0), time.monotonic_ns())
         except BlockingIOError:
             socket.wait_write(sock.fileno(), limit / SECOND)
-            refresh()
     outbox.wrote(0)
 
 
@@ -96,7 +110,7 @@
         if self.writer is not None:
             return
         try:
-            while chunk := self.outbox.chunk():
+            while chunk := current_chunk(self.outbox, self.refresh):
                 self.outbox.wrote(self.sock.send(chunk, 0, 0.0), time.monotonic_ns())
             self.outbox.wrote(0)
             self.written()
@@ -116,7 +130,7 @@
             self.writer = None
 
     def refresh(self) -> None:
-        """Called before waiting output is written to a socket that was full."""
+        """Called right before output is written."""
 
     def written(self) -> None:
         """Called when the outbox is empty."""
