Count input as just arrived only where the poll before is recent

What callers saw: requests that waited while the front end was stopped kept most of that time: they lay 142 ms and were counted as 2, so workers were told too much time left, and updates of the worker list were dated too late.

Cause: PollMonitor took a wait of 0.25 ms or more as proof that the loop was idle and its data new. A process that was stopped between two waits, and preempted in the next one, waits as long although its data is there.

Change: the guess is made only within 10 ms of the poll before, so it is wrong by no more than that. A loop with nothing to do polls every 5 ms, so requests in ordinary times lose what they lost before.

--- a/threadshift/invoke/poll_monitor.py
+++ b/threadshift/invoke/poll_monitor.py
@@ -17,6 +17,8 @@
 STALL_THRESHOLD = 50 * MS
 # A single wait for input this long means that the process was stopped: the timer limits waits to half of it.
 INTERRUPTED_WAIT = 10 * MS
+# Up to so long after the poll before, a guess of when data arrived may be made: it is wrong by no more than this.
+MAX_GUESS_ERROR = 10 * MS
 # The loop was idle if it waited this long before a poll; what the poll found has only just arrived.
 IDLE_WAIT = MS // 4
 # Time for the loop to read everything that arrived during a stall: several iterations.
@@ -63,9 +65,10 @@
         """The longest time, in ns, for which data read now may have waited; 0 while polls are not recorded.
 
         If the loop waited for input, the data arrived just before the last poll: counted from the poll before, a call
-        of 70 ms would lose a tenth of its time for nothing. After an interrupted wait this is not assumed, as the
-        process may have been preempted in a wait that found its data at once."""
+        of 70 ms would lose a tenth of its time for nothing. That is a guess, as the process may have been preempted
+        in a wait that found its data at once, so it is made only where the poll before is recent."""
         if not self.previous_poll:
             return 0
-        was_idle = IDLE_WAIT <= self.last_poll - self.wait_started < INTERRUPTED_WAIT and not self.was_interrupted
+        was_idle = (self.last_poll - self.wait_started >= IDLE_WAIT
+                    and self.last_poll - self.previous_poll < MAX_GUESS_ERROR)
         return now - (self.last_poll if was_idle else self.previous_poll)
