Date what is read from a client by its socket, not by the time since its connection was accepted

What callers saw: requests on new connections kept the time of a stop in which they had waited, so workers were told up to 150 ms and more too much time left. A client whose reader paused, after records that no client sends, got the time of the pause back.

Cause: the time for which a new connection had waited was dropped where its first bytes were read over 50 ms after the accept, as if they had come later. A second stop between accept and read drops the first. And input was dated by the event loop's polls although its reader had not been waiting in them: after a pause, a read returns at once.

Change: InputAge tells for each socket whether a read had to wait. If so, the data came after the read began and is dated by the polls; if not, it may have come at any time since the socket was last empty. Accepted connections are dated in the same way, in the order of the queue. A pause waits for the socket, so that input that comes later in it is not dated too early.

--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -15,6 +15,7 @@
 from tests.platform import Coordinator, Platform, Worker, configuration, event, instance
 from tests.processes import FrontEndProcess
 from threadshift.engine.engine import Call, PendingRequest
+from threadshift.fastcgi.codec import record
 from threadshift.frames.codec import INVOKE
 from threadshift.frames.link import current_invoke_frame
 from threadshift.interface import MS, SECOND, Outcome
@@ -27,6 +28,7 @@
 STOPS = 6
 SHORT_TIMEOUT_MS = 200.0
 BLOCKED_MS = 200
+UNKNOWN_TYPE = 77          # of a FastCGI record
 
 
 class StoppedWhileItWaits(unittest.TestCase):
@@ -90,6 +92,52 @@
             self.assertEqual(len(it.workers[0].frames_with(INVOKE)), 1)
 
 
+class ReadLate(unittest.TestCase):
+    """Guards against giving a request the time for which its connection was accepted, but not read."""
+
+    @staticmethod
+    def late(serve):
+        """Serves a connection after a stop and some iterations of the event loop."""
+        def serve_late(*arguments):
+            block_process(BLOCKED_MS / 1_000)
+            gevent.sleep(poll_monitor.CATCH_UP_TIME / SECOND)
+            serve(*arguments)
+        return serve_late
+
+    def test_after_a_stop_between_accept_and_read(self):
+        with Platform() as it:
+            it.node.listener.serve = self.late(it.node.listener.serve)
+            client = it.client()
+            client.ask(left=str(LEFT_MS))
+            block_process(BLOCKED_MS / 1_000)
+            self.assertEqual(client.answer()[0], 200)
+            frame, = it.workers[0].frames_with(INVOKE)
+            self.assertLessEqual(int(frame.fields["wait"]), LEFT_MS - 2 * BLOCKED_MS)
+
+    def test_after_a_stop_between_accept_and_read_in_the_daemon(self):
+        with Live() as live:
+            admitted, admit = [], live.front.engine.admit
+            live.front.engine.admit = lambda *arguments: admitted.append(admit(*arguments)) or admitted[-1]
+            live.front.serve_connection = self.late(live.front.serve_connection)
+            sent_at = time.monotonic_ns()
+            live.call("f", time_left=str(LEFT_MS))
+            self.assertLess(admitted[-1].deadline, sent_at + (LEFT_MS + BLOCKED_MS // 2) * MS)
+
+    def test_while_the_reader_pauses(self):
+        with Platform() as it:
+            client = it.client()
+            client.send(record(UNKNOWN_TYPE, 0, b"x") * 3)      # after which nothing is read for a while
+            until(lambda: any(each.offences for each in it.node.listener.connections))
+            since = time.monotonic_ns()
+            client.ask(left=str(LEFT_MS))
+            self.assertEqual(client.answer()[0], 200)
+            paused_ms = (it.node.engine.dispatcher.recent_admissions[-1] - since) // MS
+            self.assertGreater(paused_ms, 2 * poll_monitor.CATCH_UP_TIME // MS)
+            frame, = it.workers[0].frames_with(INVOKE)
+            self.assertLessEqual(int(frame.fields["wait"]), LEFT_MS - paused_ms + 1)
+            self.assertGreater(int(frame.fields["wait"]), LEFT_MS - paused_ms - 2 * poll_monitor.CATCH_UP_TIME // MS)
+
+
 class StoppedBeforeTheWrite(unittest.TestCase):
     """Guards against frames that state the time left from before a stop, between their making and their write."""
 
--- a/threadshift/fastcgi/connection.py
+++ b/threadshift/fastcgi/connection.py
@@ -17,7 +17,8 @@
 from threadshift.fastcgi import codec, connection_eviction, requests
 from threadshift.fastcgi.codec import ABORT, BEGIN, GET_VALUES, PARAMS, STDIN, ProtocolError, Records
 from threadshift.fastcgi.requests import MAX_BODY, MAX_PARAMS, InvalidRequest
-from threadshift.interface import MS, SECOND
+from threadshift.interface import SECOND
+from threadshift.invoke.input_age import InputAge
 from threadshift.invoke.refusal_counters import RefusalCounters
 from threadshift.links.sockets import BufferedSender, has_events
 
@@ -27,7 +28,6 @@
 MAX_OPEN_REQUESTS = 32         # on one connection; the protocol's limit
 MAX_DROPPED = 256 << 10        # bytes for requests that have ended, until the connection is closed
 MAX_LOGGED_IDS = 4             # of requests whose connection ended, in one line of the log
-FIRST_BYTES_TIME = 50 * MS     # bytes that arrive so soon after the accept arrived together with the connection
 
 TOO_MANY_REQUESTS = requests.unavailable_response("too many requests on one connection", 0)
 
@@ -39,7 +39,7 @@
     max_connections: Callable[[], int]   # that clients may hold now
     note: Callable[..., None]
 
-    def on_request(self, request: Request, unread: int) -> None: ...
+    def on_request(self, request: Request, received_since: int) -> None: ...
 
 
 class Request:
@@ -61,9 +61,9 @@
 class Connection(BufferedSender):
     """One client connection."""
 
-    def __init__(self, sock: socket.socket, listener: Listener, unread: int):
+    def __init__(self, sock: socket.socket, listener: Listener, age: InputAge):
         super().__init__(sock, MAX_BUFFERED, WRITE_TIMEOUT)
-        self.listener, self.unread = listener, unread
+        self.listener, self.age = listener, age
         self.accepted = self.active = time.monotonic_ns()
         self.check_due = self.accepted + connection_eviction.FIRST_ANSWER_TIMEOUT
         self.open: dict[int, Request] = {}
@@ -80,17 +80,17 @@
         records = Records()
         try:
             while not self.closes_when_done or self.open:
+                began = time.monotonic_ns()
                 data = self.sock.recv(READ_SIZE)
                 if not data or self.ended:
                     return
-                now = self.active = time.monotonic_ns()
-                if self.unread and now - self.accepted > FIRST_BYTES_TIME:
-                    self.unread = 0     # the bytes were sent after the accept
+                self.active = time.monotonic_ns()
+                self.age.on_read(began, is_empty=len(data) < READ_SIZE)
                 offences = self.offences
                 for kind, id_, content in records.feed(data):
                     self.on_record(kind, id_, content)
                 if self.offences > offences:
-                    gevent.sleep(connection_eviction.read_pause(self.offences, bool(self.open)) / SECOND)
+                    self.age.pause(self.sock, connection_eviction.read_pause(self.offences, bool(self.open)))
         except ProtocolError as problem:
             self.listener.refusal_counters.record(time.monotonic_ns(), "unreadable")
             self.listener.note("unreadable", level="debug", problem=str(problem))
@@ -189,8 +189,8 @@
             if len(request.body) > MAX_BODY:
                 raise InvalidRequest(413, f"the body exceeds {MAX_BODY} bytes")
             return
-        unread, self.unread, self.dropped = self.unread, 0, 0
-        self.listener.on_request(request, unread)
+        self.dropped = 0
+        self.listener.on_request(request, self.age.received_since)
 
     def refuse_invalid(self, request: Request, problem: InvalidRequest) -> None:
         """Refuses a request for its content."""
--- a/threadshift/fastcgi/listener.py
+++ b/threadshift/fastcgi/listener.py
@@ -22,6 +22,7 @@
 from threadshift.fastcgi.requests import InvalidRequest
 from threadshift.interface import MS, SECOND, NamespaceType
 from threadshift.invoke.admission import Admission
+from threadshift.invoke.input_age import InputAge
 from threadshift.invoke.poll_monitor import STALL_THRESHOLD, PollMonitor
 from threadshift.invoke.refusal_counters import RefusalCounters
 from threadshift.links.sockets import BACKLOG, accept_connections, has_events
@@ -64,13 +65,14 @@
 
     def accept(self, sock: socket.socket) -> None:
         """Accepts connections until the socket is closed."""
-        for client in accept_connections(sock, self.note):
+        age = InputAge(self.poll_monitor, time.monotonic_ns())
+        for client in accept_connections(sock, self.note, lambda began: age.on_read(began, is_empty=False)):
             self.wait_for_room()
             if len(self.connections) >= self.max_connections():
                 self.refusal_counters.record(time.monotonic_ns(), TOO_MANY_CONNECTIONS)
                 self.refuse_connection(client)
                 continue
-            self.add_connection(client)
+            self.add_connection(client, age.received_since)
 
     def refuse_connection(self, client: socket.socket) -> None:
         """Closes a connection above the limit; requests that were received on it already get a refusal."""
@@ -99,10 +101,10 @@
                 return
             gevent.sleep(CLOSE_POLL_INTERVAL / SECOND)
 
-    def add_connection(self, client: socket.socket) -> None:
-        """Starts to serve an accepted connection."""
+    def add_connection(self, client: socket.socket, received_since: int) -> None:
+        """Starts to serve an accepted connection, which was made at `received_since` at the earliest."""
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = Connection(client, self, self.poll_monitor.unread_time(time.monotonic_ns()))
+        connection = Connection(client, self, InputAge(self.poll_monitor, received_since))
         self.connections.add(connection)
         self.greenlets.spawn(self.serve, connection)
 
@@ -130,8 +132,10 @@
         finally:
             self.connections.discard(connection)
 
-    def on_request(self, request: Request, unread: int) -> None:
-        """Answers, refuses, postpones or admits a complete request. Raises InvalidRequest."""
+    def on_request(self, request: Request, received_since: int) -> None:
+        """Answers, refuses, postpones or admits a complete request, which may have arrived at `received_since`.
+
+        Raises InvalidRequest."""
         parameters = request.parameters
         assert parameters is not None
         if parameters.get(b"SCRIPT_NAME") == requests.ALIVE_PATH:
@@ -146,7 +150,7 @@
         request.pending, request.parameters, request.body = True, {}, b""
         # The request may have waited unread since the event loop polled last, while its client's time went on.
         now = time.monotonic_ns()
-        unread = max(unread, self.poll_monitor.unread_time(now))
+        unread = max(now - received_since, self.poll_monitor.unread_time(now))
         if unread < STALL_THRESHOLD and not self.front_end.list_is_stale() and not self.front_end.has_unread_update():
             self.admit(request, parsed, now - unread)
         elif len(self.postponed) + len(self.engine.requests) >= self.max_activations:
@@ -239,7 +243,7 @@
         sock.settimeout(0)
         with suppress(OSError):
             for _ in range(BACKLOG):
-                self.add_connection(sock.accept()[0])
+                self.add_connection(sock.accept()[0], time.monotonic_ns())
         sock.close()
         until = time.monotonic_ns() + FLUSH_TIME
         gevent.sleep(CLOSE_POLL_INTERVAL / SECOND)
--- a/threadshift/gateway/front_end.py
+++ b/threadshift/gateway/front_end.py
@@ -38,6 +38,7 @@
 from threadshift.invoke.api import RETRY_DELAYS, InvokeApi, rejection
 from threadshift.invoke.deferred import InMemoryStore
 from threadshift.invoke.http import Application, Connection, TimeoutMonitor, serialize
+from threadshift.invoke.input_age import InputAge
 from threadshift.invoke.shares import weights
 from threadshift.links.codec import Frame
 from threadshift.links.link import Link
@@ -217,7 +218,8 @@
 
     def accept(self, sock: socket.socket) -> None:
         """Accepts the connections of clients."""
-        for client in accept_connections(sock, self.note):
+        age = InputAge(self.api.poll_monitor, time.monotonic_ns())
+        for client in accept_connections(sock, self.note, lambda began: age.on_read(began, is_empty=False)):
             self.connection_rate.record(time.monotonic_ns())
             if len(self.connections) >= self.config.bounds.connections:
                 # Idle connections are ended to make room for new ones.
@@ -233,7 +235,7 @@
             if not sock.family == socket.AF_UNIX:
                 client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.connections.spawn(self.serve_connection, client, self.api,
-                                   self.api.poll_monitor.unread_time(time.monotonic_ns()))
+                                   InputAge(self.api.poll_monitor, age.received_since))
 
     def accept_admin(self, sock: socket.socket, admin: Admin) -> None:
         """Accepts operators' connections, with a limit of their own: a flood of clients must not lock them out."""
@@ -244,10 +246,10 @@
                 client.close()
 
     def serve_connection(self, client: socket.socket, application: Application,
-                         unread_time: int = 0) -> None:
+                         age: InputAge | None = None) -> None:
         """Serves one connection. An unexpected error in it is a bug: it is logged and ends only this connection."""
         try:
-            Connection(client, application, self.config.bounds, self.timeout_monitor, unread_time).serve()
+            Connection(client, application, self.config.bounds, self.timeout_monitor, age).serve()
         except Exception as fault:
             cause = fault.__context__ or fault      # the parser wraps errors of its callbacks
             self.note("fault", level="error", **exception_fields(cause))
--- a/threadshift/invoke/api.py
+++ b/threadshift/invoke/api.py
@@ -180,7 +180,7 @@
         preference = requests.parse_preference(exchange.headers.get("prefer", ""))
         # The request may have been unread since the event loop's last poll. Its client's time ran meanwhile.
         now = time.monotonic_ns()
-        unread_time = max(exchange.unread_time, self.poll_monitor.unread_time(now))
+        unread_time = max(now - exchange.received_since, self.poll_monitor.unread_time(now))
         received_at = now - unread_time
         if unread_time >= STALL_THRESHOLD:
             # News of a draining worker, from the worker list or the worker itself, may be unread too, and rule 3 (no
--- a/threadshift/invoke/http.py
+++ b/threadshift/invoke/http.py
@@ -20,12 +20,12 @@
 
 from threadshift.conf.gateway_config import Bounds
 from threadshift.interface import MS, SECOND
+from threadshift.invoke.input_age import InputAge
 from threadshift.invoke.requests import Problem, Response, problem_response
 
 READ_SIZE = 64 << 10                     # bytes
 NO_DEADLINE = 1 << 62
 DEADLINE_CHECK_INTERVAL = 100 * MS       # short enough for deadlines of seconds
-FIRST_DATA_TIME = 50 * MS                # data that comes within this time of accepting was sent with the connection
 MIN_IDLE_TIME = SECOND                   # without a request, before a connection may be ended to make room
 EVICTION_BATCH = 16                      # connections ended at a time: searching all costs more than ending some
 LINGER_TIME = SECOND                     # for which input is read after a refusal, or the client may not see it
@@ -47,7 +47,7 @@
     """One request and its answer. `pending` is the request that the engine has for it, if any."""
 
     __slots__ = ("connection", "method", "path", "headers", "body", "keep_alive", "response", "pending",
-                 "awaited_call", "unread_time")
+                 "awaited_call", "received_since")
 
     def __init__(self, connection: Connection, method: str, path: str, headers: dict[str, str], body: bytes,
                  keep_alive: bool):
@@ -55,7 +55,7 @@
             connection, method, path, headers, body, keep_alive)
         self.response: Response | None = None
         self.pending: Any = None
-        self.unread_time = 0             # ns for which it waited unread before its connection was accepted
+        self.received_since = connection.age.received_since if connection.age else time.monotonic_ns()
         self.awaited_call: Any = None    # the deferred call whose answer it waits for
 
     def respond(self, response: Response) -> None:
@@ -99,11 +99,10 @@
     """One client connection."""
 
     def __init__(self, sock: socket.socket, application: Application, bounds: Bounds, timeout_monitor: TimeoutMonitor,
-                 unread_time: int = 0):
+                 age: InputAge | None = None):
         self.sock, self.application, self.bounds, self.timeout_monitor = sock, application, bounds, timeout_monitor
-        # While a connection waited to be accepted, its first request may have waited with it.
-        self.accepted_at, self.unread_time = time.monotonic_ns(), unread_time
-        self.read_deadline = self.accepted_at + bounds.idle
+        self.age = age                          # None where the age of input does not matter
+        self.read_deadline = time.monotonic_ns() + bounds.idle
         self.write_deadline = NO_DEADLINE
         self.is_expired = self.is_writing = False
         self.read_pause = 0                     # ns for which nothing is read next; set by the application
@@ -167,7 +166,6 @@
         keep_alive = self.parser.should_keep_alive() and not self.application.closing
         exchange = Exchange(self, self.parser.get_method().decode(), self.url.decode("latin-1"), self.headers,
                             bytes(self.body), keep_alive)
-        exchange.unread_time, self.unread_time = self.unread_time, 0
         self.exchanges.append(exchange)
         self.application.handle(exchange)
 
@@ -196,6 +194,7 @@
     def read(self) -> Problem | None:
         """Reads requests until the connection ends; returns the reason if it ends by a refusal."""
         while not self.writing_ended:
+            began = time.monotonic_ns()
             try:
                 data = self.sock.recv(READ_SIZE)
             except OSError:
@@ -205,8 +204,8 @@
             if not data or self.is_expired:
                 return None
             now = time.monotonic_ns()
-            if self.unread_time and now - self.accepted_at > FIRST_DATA_TIME:
-                self.unread_time = 0         # it was sent after the connection was accepted
+            if self.age is not None:
+                self.age.on_read(began, is_empty=len(data) < READ_SIZE)
             if not self.request_started:
                 self.request_started, self.read_deadline = now, now + self.bounds.request
             try:
@@ -226,7 +225,8 @@
             if self.read_pause:
                 # A client that was told to retry later is not read before: to read and refuse a request costs half as
                 # much as to serve it.
-                gevent.sleep(self.read_pause / SECOND)
+                if self.age is not None:
+                    self.age.pause(self.sock, self.read_pause)
                 self.read_pause = 0
         return None
 
--- a/threadshift/invoke/poll_monitor.py
+++ b/threadshift/invoke/poll_monitor.py
@@ -61,14 +61,17 @@
             self.previous_poll = self.last_poll
         self.last_poll, self.previous_wait_started = now, self.wait_started
 
-    def unread_time(self, now: int) -> int:
-        """The longest time, in ns, for which data read now may have waited; 0 while polls are not recorded.
+    @property
+    def arrived_since(self) -> int:
+        """The earliest time at which data that the last poll found may have arrived; 0 while polls are not recorded.
 
         If the loop waited for input, the data arrived just before the last poll: counted from the poll before, a call
         of 70 ms would lose a tenth of its time for nothing. That is a guess, as the process may have been preempted
         in a wait that found its data at once, so it is made only where the poll before is recent."""
-        if not self.previous_poll:
-            return 0
         was_idle = (self.last_poll - self.wait_started >= IDLE_WAIT
                     and self.last_poll - self.previous_poll < MAX_GUESS_ERROR)
-        return now - (self.last_poll if was_idle else self.previous_poll)
+        return self.last_poll if was_idle else self.previous_poll
+
+    def unread_time(self, now: int) -> int:
+        """The longest time, in ns, for which data read now may have waited; 0 while polls are not recorded."""
+        return now - self.arrived_since if self.previous_poll else 0
--- a/threadshift/links/link.py
+++ b/threadshift/links/link.py
@@ -274,7 +274,7 @@
                     self.handle_frame(frame)
 
     def update_time_left(self) -> None:
-        """Sets the time left in all queued calls, less now than when they were queued; holds back those without any."""
+        """Updates the time left in the calls that are not written yet, and holds back those without any."""
         now = time.monotonic_ns()
         for id_ in self.outbox.unwritten:
             receiver = self.receivers.get(id_)
--- a/threadshift/links/sockets.py
+++ b/threadshift/links/sockets.py
@@ -53,9 +53,13 @@
         raise
 
 
-def accept_connections(sock: socket.socket, note: Callable[..., None]) -> Iterator[socket.socket]:
-    """Yields connections until the listener is closed. A failed accept is logged and retried after a pause."""
+def accept_connections(sock: socket.socket, note: Callable[..., None],
+                       on_accept: Callable[[int], None] = lambda began: None) -> Iterator[socket.socket]:
+    """Yields connections until the listener is closed. A failed accept is logged and retried after a pause.
+
+    on_accept() is called after each accept with the time at which it began, in monotonic ns."""
     while True:
+        began = time.monotonic_ns()
         try:
             client, _ = sock.accept()
         except OSError as problem:
@@ -64,6 +68,7 @@
             note("accept-failed", level="warning", problem=str(problem))
             gevent.sleep(ACCEPT_PAUSE / SECOND)
             continue
+        on_accept(began)
         yield client
 
 
