Ask for unread news of workers at the write of a frame, not only at the decision

Cause: whether an update of the worker list lies unread was asked when a request was admitted, an answer handled or the timer ran, and the write came some tenths of a millisecond of work later. A stop of the process between the two lets a worker drain in between. The time left was looked at again at the first byte, the drain was not.

Change: links ask before each write; where an update is unread, the frame waits in the outbox until the event loop has run, at most ten times. A send to a worker that drains by that update is withdrawn and never sent; a load order at such a moment is not given. Likewise in the daemon, which writes from a greenlet of its own.

Tests: three in tests/test_drain_grace.py, all fail on the text before.

--- a/tests/stop_series.py
+++ b/tests/stop_series.py
@@ -3,9 +3,11 @@
     python -m tests.stop_series FIRST_SEED COUNT [--seconds N] [--busy N]
 
 The protocol limits what a front end may pass on to a worker: at most what its client has left, with 150 ms of slack.
-Each send is checked for that on the clock of the clients and workers, which run in this process. `--busy` starts so
-many processes beside the run that only compute. One line a seed is printed; the exit status is 1 where a send had too
-much time, began after the end of its request, or a request was not answered in its time.
+It also limits when: not later than the drain grace, which is 0 here, with 50 ms of slack, after the coordinator has
+word that the worker drains; one worker after another is replaced. Each send and load order is checked for both on the
+clock of the clients and workers, which run in this process. `--busy` starts so many processes beside the run that
+only compute. One line a seed is printed; the exit status is 1 where a send had too much time or came too late, or a
+request was not answered in its time.
 """
 from __future__ import annotations
 
@@ -16,6 +18,7 @@
 import tempfile
 import time
 from collections import Counter
+from itertools import count
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -25,10 +28,10 @@
 
 from tests.platform import SETTINGS, Client, Coordinator, Worker, event, instance, request, serve
 from tests.processes import FrontEndProcess
-from tests.soak import ANSWER_TOLERANCE, TIME_LEFT_TOLERANCE, TimerLag
+from tests.soak import ANSWER_TOLERANCE, TIME_LEFT_TOLERANCE, TOLERANCE, TimerLag
 from threadshift.fastcgi import codec
 from threadshift.fastcgi.codec import END, STDOUT
-from threadshift.frames.codec import INVOKE
+from threadshift.frames.codec import INVOKE, LOAD
 from threadshift.interface import MS, SECOND
 
 LEFT_MS = 1_200
@@ -41,6 +44,7 @@
 MAX_STOPPED_S = 1.6            # in a series: a process that is stopped for longer answers too late
 RUN_S = (0.0, 0.001, 0.003, 0.03)    # between two stops of a series
 PAUSE_S = (0.3, 1.0)           # between two series
+REPLACEMENT_INTERVAL_S = 0.2   # of a worker
 FUNCTIONS = 40
 MAX_REPORTED = 8
 
@@ -68,6 +72,23 @@
     wait_ms: int
 
 
+class ListedWorker(Worker):
+    """A worker that passes what it receives to the run."""
+
+    def __init__(self, run: StopSeries, name: str):
+        super().__init__(self.on_frame)
+        self.run, self.name = run, name
+        self.drained_at = 0        # when its drain was published, monotonic ns
+
+    def on_frame(self, worker: Worker, sock, frame) -> None:
+        now = time.monotonic_ns()
+        if frame.code == INVOKE:
+            self.run.sends.append(ReceivedSend(frame.id.hex(), now, int(frame.fields["wait"])))
+        if self.drained_at and frame.code in (INVOKE, LOAD):
+            self.run.after_drain.append((self.name, frame.code, now, now - self.drained_at))
+        serve(worker, sock, frame)
+
+
 class RequestConnection:
     """A connection of clients that records what became of each of its requests."""
 
@@ -110,23 +131,22 @@
         self.seed, self.seconds, self.rng = seed, seconds, random.Random(seed)
         self.requests: dict[str, SentRequest] = {}
         self.sends: list[ReceivedSend] = []
+        self.after_drain: list[tuple[str, int, int, int]] = []    # worker, code, when, ns after its drain
+        self.names = map("s-{:08x}".format, count())
         self.faults: list[str] = []
         self.worst = 0             # ns of too much time passed on
         self.stops = 0
         self.greenlets = Group()
         self.front_end: FrontEndProcess
 
-    def on_frame(self, worker: Worker, sock, frame) -> None:
-        if frame.code == INVOKE:
-            self.sends.append(ReceivedSend(frame.id.hex(), time.monotonic_ns(), int(frame.fields["wait"])))
-        serve(worker, sock, frame)
-
     def play(self) -> None:
         """Plays the run and fills `faults`."""
-        worker, self.lag = Worker(self.on_frame), TimerLag()
-        listed = event(1, *(instance(f"s-{n:08x}", worker.address) for n in range(WORKERS)), full=True)
-        coordinator = Coordinator([listed])
-        settings = SETTINGS | {"lanes": [lane | {"giveUp": float(LEFT_MS)} for lane in SETTINGS["lanes"]]}
+        self.lag = TimerLag()
+        self.workers = [ListedWorker(self, next(self.names)) for _ in range(WORKERS)]
+        listed = event(1, *(instance(each.name, each.address) for each in self.workers), full=True)
+        self.coordinator = coordinator = Coordinator([listed])
+        settings = SETTINGS | {"lanes": [lane | {"giveUp": float(LEFT_MS)} for lane in SETTINGS["lanes"]],
+                               "rules": SETTINGS["rules"] | {"drainGrace": 0.0}}
         try:
             with tempfile.TemporaryDirectory() as folder, FrontEndProcess(
                     folder, "n0", coordinator=str(coordinator.address), known={"index": 1, "updates": [listed]},
@@ -138,14 +158,14 @@
         finally:
             self.greenlets.kill()
             self.lag.greenlet.kill()
-            for server in (worker, coordinator):
+            for server in (*self.workers, coordinator):
                 server.stop()
 
     def run(self) -> None:
         """Runs clients and stops, waits for the last answers, and checks."""
-        stops = gevent.spawn(self.stop_repeatedly)
+        faults = [gevent.spawn(self.stop_repeatedly), gevent.spawn(self.replace_workers)]
         self.send_rounds()
-        stops.kill()
+        gevent.killall(faults)
         self.front_end.process.send_signal(signal.SIGCONT)
         gevent.sleep((LEFT_MS * MS + ANSWER_TOLERANCE) / SECOND)
         self.check()
@@ -177,8 +197,23 @@
                 process.send_signal(signal.SIGCONT)
                 gevent.sleep(rng.choice(RUN_S))
 
+    def replace_workers(self) -> None:
+        """Drains one worker after another, each for a new one."""
+        for index in count(2):
+            gevent.sleep(REPLACEMENT_INTERVAL_S)
+            leaving = self.rng.choice([each for each in self.workers if not each.drained_at])
+            joining = ListedWorker(self, next(self.names))
+            self.workers.append(joining)
+            leaving.drained_at = time.monotonic_ns()
+            self.coordinator.publish(event(index, instance(leaving.name, leaving.address, "Terminating"),
+                                           instance(joining.name, joining.address)))
+
     def check(self) -> None:
-        """Checks the time left that each send stated, and that each request was answered in its time."""
+        """Checks each send and load order, and that each request was answered in its time."""
+        for worker, code, now, after in self.after_drain:
+            if after > TOLERANCE + self.lag.around(now):
+                self.faults.append(f"{'load order' if code == LOAD else 'send'} at {worker} "
+                                   f"{after / MS:.0f} ms after its drain")
         for send in self.sends:
             sent, slack = self.requests[send.id], self.lag.around(send.received_at)
             excess = send.wait_ms * MS - (sent.deadline - send.received_at) - TIME_LEFT_TOLERANCE - slack
--- a/tests/test_drain_grace.py
+++ b/tests/test_drain_grace.py
@@ -29,7 +29,7 @@
 from threadshift.fastcgi.codec import Records
 from threadshift.frames import link
 from threadshift.frames.codec import INVOKE, LOAD
-from threadshift.interface import MS, SECOND, WorkerState
+from threadshift.interface import MS, SECOND, Outcome, WorkerState
 from threadshift.links.codec import encode
 from threadshift.links.redial import ReconnectBackoff
 from threadshift.node import front_end_config
@@ -184,6 +184,32 @@
             self.assertEqual(client.answer()[0], 503)
             self.assert_not_sent(it)
 
+    def test_drain_is_read_between_the_decision_and_the_write(self):
+        # Guards against a stop between the two, during which the worker drains.
+        with Platform() as it:
+            link = it.node.links["s-0"]
+            invoke, outcomes = link.invoke, []
+
+            def invoke_after_drain(*arguments):
+                self.drain_unread(it)
+                return invoke(*arguments)
+            link.invoke = invoke_after_drain
+            it.node.engine.on_send_ended, ended = (
+                lambda *arguments, **facts: outcomes.append(arguments[3]) or ended(*arguments, **facts),
+                it.node.engine.on_send_ended)
+            self.assertEqual(it.call()[0], 503)
+            self.assertEqual(outcomes, [Outcome.UNREACHABLE])
+            self.assert_not_sent(it)
+
+    def test_drain_is_read_between_the_decision_and_the_write_of_a_load_order(self):
+        with Platform() as it:
+            link, ended = it.node.links["s-0"], []
+            self.drain_unread(it)
+            query = mock.Mock(function="00000000000000f1", is_done=False, on_answered=ended.append)
+            self.assertEqual(link.order_load(query), Outcome.UNREACHABLE)
+            until(lambda: not it.node.engine.dispatcher.workers["s-0"].ready)
+            self.assert_not_sent(it)
+
     def test_drain_is_read_before_the_timer_decides(self):
         with Platform() as it:
             ready = []
@@ -248,6 +274,19 @@
                 self.assertFalse(live.front.engine.dispatcher.workers["w0"].ready)
                 live.feed.execute_order(["state", "w0", "ready"])
 
+    def test_unread_update_is_read_between_the_decision_and_the_write(self):
+        with Live(workers=1) as live:
+            link, enqueue, seen = live.front.links["w0"], live.front.links["w0"].enqueue, []
+            has_unread_update, unread = live.front.has_unread_update, [True, True]
+
+            def enqueue_before_update(*arguments):
+                live.front.has_unread_update = lambda: bool(
+                    seen.append(link.outbox.size > 0) or unread and unread.pop()) or has_unread_update()
+                return enqueue(*arguments)
+            link.enqueue = enqueue_before_update
+            self.assertEqual(live.call("f").status, 200)
+            self.assertEqual(seen[:3], [True, True, True])      # asked again each time before anything was written
+
     def test_requests_read_updates(self):
         with Live(workers=1) as live, mock.patch.object(live.front.api, "read_updates") as asked:
             live.call("f")
--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -54,12 +54,14 @@
     """The owner of a link.
 
     catch_up_after_stall() is called before an answer or a new connection is acted upon, and may wait a moment.
+    has_unread_update() returns whether news of workers has arrived that is not applied yet: nothing is sent then.
     make_room_for_connection() makes room for one more connection and returns False if there is none; it closes other
     connections only if something waits for the new one. dials_ahead() returns whether connections are dialled before
     anything waits for them, which is not the case if there are too many workers to have a connection each.
     connection_opened() is called when a dial begins: a dial counts as a connection from then on."""
 
     def catch_up_after_stall(self) -> None: ...
+    def has_unread_update(self) -> bool: ...
     def make_room_for_connection(self, wanted: bool) -> bool: ...
     def dials_ahead(self) -> bool: ...
     def connection_opened(self, link: Link) -> None: ...
@@ -88,14 +90,18 @@
 class Connection(BufferedSender):
     """One connection to a worker."""
 
-    def __init__(self, sock: socket.socket, settings: LinkSettings):
+    def __init__(self, sock: socket.socket, settings: LinkSettings, owner: LinkOwner):
         super().__init__(sock, settings.max_buffered, settings.write_timeout)
+        self.owner = owner
         self.in_flight: dict[bytes, Any] = {}   # (pending, number) of a send, or a PendingWorkerQuery
         self.used_ids: dict[bytes, None] = {}
         self.has_answered = self.suspected = False
         self.last_received_at = time.monotonic_ns()
         self.reader: gevent.Greenlet | None = None
 
+    def may_write(self) -> bool:
+        return not self.owner.has_unread_update()
+
     def refresh(self) -> None:
         """Updates the time left in the requests that are not written yet, and holds back those without any."""
         now = time.monotonic_ns()
@@ -322,7 +328,7 @@
             sock.close()                    # stop() came while it was dialled, and counts it no more
             return
         sock.settimeout(None)               # only the dispatcher judges a silent worker
-        connection = Connection(sock, self.settings)
+        connection = Connection(sock, self.settings, self.owner)
         self.backoff.on_connected(connection.last_received_at)
         self.connections.append(connection)
         self.dialler = None
--- a/threadshift/links/link.py
+++ b/threadshift/links/link.py
@@ -34,6 +34,7 @@
 
     # Called before answers are handled; may wait for a moment.
     def catch_up_after_stall(self) -> None: ...
+    def has_unread_update(self) -> bool: ...       # of the worker list: nothing is sent before it is applied
     # The worker's hello arrived. A text that is returned is the reason why the link is refused.
     def on_hello(self, worker: str, hello: Frame) -> str: ...
     # The worker says that it drains.
@@ -292,7 +293,8 @@
         self.update_time_left()
         try:
             while True:
-                write_out(sock, self.outbox, self.bounds.write, self.update_time_left)
+                write_out(sock, self.outbox, self.bounds.write, self.update_time_left,
+                          lambda: not self.owner.has_unread_update())
                 self.has_output.clear()
                 self.has_output.wait()
         except OSError:
--- a/threadshift/links/sockets.py
+++ b/threadshift/links/sockets.py
@@ -19,6 +19,7 @@
 ACCEPT_PAUSE = 100 * MS    # after an accept that failed because no file descriptor was free
 MAX_STATEMENT_AGE = 5 * MS # of the time left that a frame states when it is written
 MAX_STATEMENTS = 3         # until a frame is written all the same, as stating the time of very many takes long
+MAX_HOLDS = 10             # iterations of the event loop for which output is held: a flood of updates never ends
 
 
 def listener(address: Address, shared: bool) -> socket.socket:
@@ -72,12 +73,19 @@
         yield client
 
 
-def current_chunk(outbox: Outbox, refresh: Callable[[], None]) -> bytes:
+def always() -> bool:
+    return True
+
+
+def current_chunk(outbox: Outbox, refresh: Callable[[], None], may_write: Callable[[], bool]) -> bytes:
     """The next bytes to write. refresh() updates what frames state of the time left.
 
-    It is called again where the process was stopped since: that time is not left any more."""
+    It is called again where the process was stopped since: that time is not left any more. Raises BlockingIOError
+    where nothing may be written yet."""
     for _ in range(MAX_STATEMENTS):
         stated_at = time.monotonic_ns()
+        if outbox.size and not may_write():
+            raise BlockingIOError
         refresh()
         chunk = outbox.chunk()
         if time.monotonic_ns() - stated_at < MAX_STATEMENT_AGE:
@@ -85,17 +93,24 @@
     return chunk
 
 
-def write_out(sock: socket.socket, outbox: Outbox, limit: int, refresh: Callable[[], None] = lambda: None) -> None:
+def write_out(sock: socket.socket, outbox: Outbox, limit: int, refresh: Callable[[], None] = lambda: None,
+              may_write: Callable[[], bool] = always) -> None:
     """Writes what waits in the outbox. Raises OSError where the peer takes no byte for `limit` ns.
 
     Each chunk is cut when it can be written, not before. Otherwise a frame that is withdrawn during the wait would
     be sent all the same, and its bytes would be counted as those of other frames. refresh() is called before each
-    write.
+    write; where may_write() is false, the event loop runs before it is asked again.
     """
-    while chunk := current_chunk(outbox, refresh):
+    holds = 0
+    while True:
         try:
+            chunk = current_chunk(outbox, refresh, may_write if holds < MAX_HOLDS else always)
+            if not chunk:
+                break
             outbox.wrote(sock.send(chunk, 0, 0.0), time.monotonic_ns())
+            holds = 0
         except BlockingIOError:
+            holds += 1
             socket.wait_write(sock.fileno(), limit / SECOND)
     outbox.wrote(0)
 
@@ -115,7 +130,7 @@
         if self.writer is not None:
             return
         try:
-            while chunk := current_chunk(self.outbox, self.refresh):
+            while chunk := current_chunk(self.outbox, self.refresh, self.may_write):
                 self.outbox.wrote(self.sock.send(chunk, 0, 0.0), time.monotonic_ns())
             self.outbox.wrote(0)
             self.written()
@@ -127,7 +142,7 @@
     def write_rest(self) -> None:
         """Writes what waits, as the socket becomes writable."""
         try:
-            write_out(self.sock, self.outbox, self.write_limit, self.refresh)
+            write_out(self.sock, self.outbox, self.write_limit, self.refresh, self.may_write)
             self.written()
         except OSError:
             self.shut()
@@ -137,6 +152,10 @@
     def refresh(self) -> None:
         """Called right before output is written."""
 
+    def may_write(self) -> bool:
+        """Whether output may be written now; asked before each write."""
+        return True
+
     def written(self) -> None:
         """Called when the outbox is empty."""
 
