Apply all updates of one read before anything is sent because of the first of them

What callers saw: a request was sent again to a worker that had drained 60 ms before, with a grace of 0, although the drain had been read.

Cause: several updates of the worker list that are read at once, as after a stop, were applied one by one, and each application let requests go on. A send that one of them caused could go to a worker that the next one drains. The socket was empty by then, so nothing counted as unread.

The order of events is made to happen in test_retry_after_a_replaced_link_avoids_a_worker_drained_by_the_next_event_of_the_same_read, and the send came.

Change: what has been read and is not applied yet counts as unread, for the coordinator's stream, for the events of a configuration and for the daemon's feed.

Tests: two in tests/test_drain_grace.py; both fail on the text before (a send to the drained worker; nothing unread between two frames of one read).

--- a/tests/test_drain_grace.py
+++ b/tests/test_drain_grace.py
@@ -8,10 +8,11 @@
 import tempfile
 import time
 import unittest
-from contextlib import ExitStack
+from contextlib import ExitStack, closing
 from pathlib import Path
 from unittest import mock
 
+import gevent
 import hypothesis
 from gevent import socket
 from gevent.event import Event
@@ -34,6 +35,7 @@
 from threadshift.links.redial import ReconnectBackoff
 from threadshift.node import front_end_config
 from threadshift.node.front import Node
+from threadshift.discovery import sources
 from threadshift.discovery.registry import WorkerEntry, WorkerList, WorkerRegistry
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -307,6 +309,33 @@
             self.assertEqual(client.answer()[0], 200)
             self.assertEqual(it.workers[other].frames_with(INVOKE), [])
 
+    def test_retry_after_a_replaced_link_avoids_a_worker_drained_by_the_next_event_of_the_same_read(self):
+        with Platform([silent, silent]) as it:
+            client = it.client()
+            client.ask(left="900")
+            until(lambda: any(each.frames_with(INVOKE) for each in it.workers))
+            moved = next(n for n, each in enumerate(it.workers) if each.frames_with(INVOKE))
+            successor, other = Worker(), 1 - moved
+            it.extra.append(successor)
+            it.coordinator.publish(event(2, instance(f"s-{moved}", successor.address)))
+            it.coordinator.publish(event(3, instance(f"s-{other}", it.workers[other].address, "Terminating")))
+            self.assertEqual(client.answer()[0], 200)
+            self.assertEqual(it.workers[other].frames_with(INVOKE), [])
+
+    def test_the_same_for_the_feed_of_the_daemon(self):
+        seen = []
+        feed = sources.FeedSource(ANY, "f", mock.Mock(frame=1 << 20), mock.Mock(), lambda: 0.5)
+        feed.listener.on_list = lambda entries, full: seen.append(feed.has_unread_data())
+        entry = {"worker": "w0", "address": "127.0.0.1:1"}
+        ours, peer = socket.socketpair()
+        with closing(ours), closing(peer), mock.patch.object(sources, "connect", lambda *_: ours):
+            peer.sendall(b"".join(encode(kind, generation=number, workers=[entry])
+                                  for number, kind in ((1, "list"), (2, "changes"))))
+            following = gevent.spawn(feed.follow)
+            until(lambda: len(seen) == 2)
+            following.kill()
+        self.assertEqual(seen, [True, False])
+
     def test_invalid_entry_does_not_hide_a_drain_beside_it(self):
         with Platform() as it:
             it.coordinator.publish(event(2, instance("s-7", "nowhere", weight="heavy"),
--- a/threadshift/coordinator/stream.py
+++ b/threadshift/coordinator/stream.py
@@ -15,6 +15,7 @@
 from threadshift.conf.values import Address
 from threadshift.coordinator.events import EventParser, EventSequence, InvalidEvent, ListUpdate, MissingEvents
 from threadshift.coordinator.freshness import MAX_RETRY_PAUSE, Freshness
+from threadshift.discovery.unapplied import counted_down
 from threadshift.interface import MS, SECOND
 from threadshift.links.redial import ReconnectBackoff
 from threadshift.links.sockets import READ_SIZE, connect, has_events
@@ -68,11 +69,13 @@
         self.sequence, self.freshness = EventSequence(), Freshness()
         self.backoff = ReconnectBackoff(chance, MAX_RETRY_PAUSE)
         self.sock: socket.socket | None = None
+        self.unapplied = 0         # events that have been read and are not applied yet
         self.address_changed = Event()
 
     def apply_known(self, events: Iterable[Any]) -> None:
         """Applies the events of a configuration."""
-        for update in self.sequence.accept_known(events):
+        updates = list(self.sequence.accept_known(events))
+        for self.unapplied, update in counted_down(updates):
             if isinstance(update, InvalidEvent):
                 self.note("event-unreadable", level="warning", problem=str(update))
             else:
@@ -99,8 +102,8 @@
             self.note("fault", level="error", **exception_fields(fault))
 
     def has_unread_data(self) -> bool:
-        """Whether data of the coordinator has arrived and has not been read yet."""
-        return self.sock is not None and has_events(self.sock, select.POLLIN)
+        """Whether data of the coordinator has arrived that has not been applied yet."""
+        return self.unapplied > 0 or self.sock is not None and has_events(self.sock, select.POLLIN)
 
     def move(self, address: Address) -> None:
         """Continues the stream at another address at once, from the last event on."""
@@ -146,7 +149,7 @@
         except (OSError, InvalidEvent, MissingEvents) as failed:
             return str(failed) or type(failed).__name__
         finally:
-            self.sock = None
+            self.sock, self.unapplied = None, 0
             self.freshness.on_lost(silent, response.headers_complete)
             if sock is not None:
                 sock.close()
@@ -163,7 +166,7 @@
             events = parser.feed(body)
             if events:
                 self.backoff.on_connected(time.monotonic_ns())
-            for event in events:
+            for self.unapplied, event in counted_down(events):
                 self.apply(event.id, event.data)
             if response.headers_complete:
                 sock.settimeout(self.freshness.silence_timeout() / SECOND)
--- a/threadshift/discovery/sources.py
+++ b/threadshift/discovery/sources.py
@@ -18,6 +18,7 @@
 from threadshift.conf.reading import ConfigurationError, Directive, load, nearest
 from threadshift.conf.values import Address
 from threadshift.discovery.registry import MAX_WORKERS, InvalidWorkerList, WorkerEntry, parse_entry
+from threadshift.discovery.unapplied import counted_down
 from threadshift.interface import MS, SECOND, WorkerState
 from threadshift.links.codec import VERSION, FrameDecoder, ProtocolError, encode
 from threadshift.links.redial import ReconnectBackoff
@@ -43,10 +44,11 @@
         self.backoff = ReconnectBackoff(chance)
         self.generation: int | None = None
         self.sock: socket.socket | None = None
+        self.unapplied = 0         # frames that have been read and are not applied yet
 
     def has_unread_data(self) -> bool:
-        """Whether data of the feed has arrived and is not read yet."""
-        return self.sock is not None and has_events(self.sock, select.POLLIN)
+        """Whether data of the feed has arrived that is not applied yet."""
+        return self.unapplied > 0 or self.sock is not None and has_events(self.sock, select.POLLIN)
 
     def run(self) -> None:
         """Follows the feed, and connects anew after a pause whenever that ends."""
@@ -66,13 +68,13 @@
             sock.settimeout(FEED_TIMEOUT / SECOND)
             decoder = FrameDecoder(self.bounds.frame)
             while data := sock.recv(READ_SIZE):
-                for frame in decoder.feed(data):
+                for self.unapplied, frame in counted_down(decoder.feed(data)):
                     self.handle_frame(frame)
             return "closed by the feed"
         except (OSError, ProtocolError, InvalidWorkerList) as failed:
             return str(failed) or type(failed).__name__
         finally:
-            self.sock = None
+            self.sock, self.unapplied = None, 0
             if sock is not None:
                 sock.close()
 
