Count the calls of a cancelled batch only at front ends that have applied the cancel

What callers saw: the answer to a cancel, and to a restore, named calls as waiting that were stopped (116 waiting and 0 parked in one cancel on five processes).

Cause: the cancel was answered once its entry was applied where it had been asked for; then all front ends were asked for their counts. A follower learns of a commit with the leader's next message, and one that had not yet answered with its state from before.

Change: a reply to a peer's query names the last entry that its sender has applied. Counts for a cancel, a restore or a show are asked for again until they include what is applied here, and a front end that does not get so far in time is named under not-heard; so is one of an older program, which does not name the entry.

The other queries between peers (reports of rollouts, eviction policies) show how far each front end is, so they stay as they are.

--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -1,6 +1,7 @@
 import random
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from threadshift.consensus.durable_member import COMPACT_AFTER_ENTRIES, SoleVoterDamaged, DurableMember
 from threadshift.consensus.persistent_state import (
@@ -17,6 +18,7 @@
 from threadshift.emulator.explore import Budget, explore
 from threadshift.emulator.record import FILE, InvariantViolation, ConsensusSimulation
 from threadshift.interface import MS, SECOND
+from threadshift.peers.queries import query_peers
 from threadshift.storage.journal import Journal
 
 NOW = 100 * SECOND
@@ -361,5 +363,27 @@
         self.assertGreater(states, 10)
 
 
+class Queries(unittest.TestCase):
+    """Guards against replies of peers that have not applied yet what the asker has seen committed."""
+
+    class Peer:
+        """A link to a peer that has applied one more entry at each query, up to a last one."""
+
+        def __init__(self, applied, last):
+            self.applied, self.last = applied, last
+
+        def query(self, what, fields, limit):
+            self.applied = min(self.applied + 1, self.last)
+            return {"applied": self.applied}
+
+    def test_peers_are_asked_until_they_have_applied_the_entry(self):
+        links = {"late": self.Peer(2, 5), "stuck": self.Peer(2, 4), "old": mock.Mock(query=lambda *_: {}),
+                 "silent": mock.Mock(query=lambda *_: None), "ahead": self.Peer(8, 9)}
+        replies = query_peers(links, "batch", {}, 200 * MS, applied=5)
+        self.assertEqual(replies, {"late": {"applied": 5}, "stuck": None, "old": None, "silent": None,
+                                   "ahead": {"applied": 9}})
+        self.assertEqual(query_peers({"old": links["old"]}, "report", {}, 200 * MS, applied=0), {"old": {}})
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/threadshift/gateway/batch_service.py
+++ b/threadshift/gateway/batch_service.py
@@ -321,9 +321,12 @@
 
     def total_counts(self, tenant: str, batch: str) -> tuple[BatchCounts, int, list[str]]:
         """Asks all front ends. Returns the counts of a batch, the number of calls of its tenant that wait, and
-        the names of the front ends that did not answer."""
+        the names of the front ends that did not answer.
+
+        Counts from before a cancel or restore that was applied here would be wrong: a front end that has not applied
+        it in time counts as one that did not answer."""
         request = {"tenant": tenant, "batch": batch}
-        found = self.consensus.query_all("batch", request, PEER_TIMEOUT)
+        found = self.consensus.query_all("batch", request, PEER_TIMEOUT, self.consensus.state_machines.applied_index)
         reports = [each for each in found.values() if each is not None and "nearest" in each]
         total = BatchCounts(**{name: sum(each[name] for each in reports) for name in COUNT_NAMES})
         total.nearest = min((each["nearest"] for each in reports if each["nearest"]), default=0)
--- a/threadshift/peers/consensus_service.py
+++ b/threadshift/peers/consensus_service.py
@@ -24,6 +24,7 @@
 from threadshift.log import exception_fields
 from threadshift.peers.link import PeerLink, PeerListener
 from threadshift.peers.peer_monitor import PeerMonitor
+from threadshift.peers.queries import APPLIED, query_peers
 from threadshift.storage.disk import Disk
 
 TICK_INTERVAL = 50 * MS    # of the member: a quarter of a heartbeat interval, as in the emulator
@@ -212,7 +213,7 @@
         if handler is None:
             return {"problem": f"unknown query '{what[:64]}'"}
         try:
-            return handler(name, fields)
+            return {**handler(name, fields), APPLIED: self.state_machines.applied_index}
         except (KeyError, TypeError, ValueError) as problem:
             return {"problem": f"{what}: {problem!r}"[:400]}
 
@@ -279,12 +280,12 @@
         elif self.member.leader in self.links:
             gevent.spawn(self.links[self.member.leader].query, "propose", {"body": body}, OFFER_INTERVAL)
 
-    def query_all(self, what: str, fields: dict[str, Any], limit: int) -> dict[str, dict[str, Any] | None]:
-        """Sends one query to all peers at once and answers it here too; None for those without an answer in time."""
-        queries = {name: gevent.spawn(link.query, what, fields, limit) for name, link in self.links.items()}
-        gevent.joinall(list(queries.values()))
-        return {self.name: self.answer_query(self.name, what, fields),
-                **{name: each.value for name, each in queries.items()}}
+    def query_all(self, what: str, fields: dict[str, Any], limit: int,
+                  applied: int = 0) -> dict[str, dict[str, Any] | None]:
+        """Sends one query to all peers at once and answers it here too; None for those without an answer in time, or
+        whose answer does not include the log up to the entry with index `applied`."""
+        replies = query_peers(self.links, what, fields, limit, applied)
+        return {self.name: self.answer_query(self.name, what, fields), **replies}
 
     def status(self) -> dict[str, Any]:
         at, member = now(), self.member
