Demonstrations that start at once choose ports of their own

What callers saw: connections refused at the shared port of a gateway whose front ends had been reported ready.

Cause: `threadshift demo` with several front ends took the first consecutive ports that were free from 20,000 on, and its front ends listened there half a second later. Two demonstrations that start together take the same ports. The front ends of one die at theirs ("Address already in use") and leave the shared port again and again, while the front ends of the other answer the questions whether the first is ready.

Evidence: tests.test_gateway.Daemon on, 8 runs, four at once: 6 failed, seven times with connection refused and once with a reset; in single runs it passes.

Change: the ports are drawn below the range that the system assigns from, and who answers there must be a process of the demonstration; otherwise it starts its gateway again with other ports, three times at most.

DemosAtOnce fails on the text before.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,9 +8,10 @@
 import tempfile
 import time
 import unittest
-from contextlib import closing
+from contextlib import ExitStack, closing
 from dataclasses import replace
 from pathlib import Path
+from unittest import mock
 
 import gevent
 from gevent import socket
@@ -22,7 +23,7 @@
 from threadshift.interface import MS, SECOND, WorkerState
 from threadshift.invoke.client import Client, NoAnswer
 from threadshift.standins.common import Record
-from threadshift.standins.rig import Rig, free_ports
+from threadshift.standins.rig import PortTaken, Rig, free_ports
 from threadshift.standins.worker import Machine, Worker
 
 
@@ -94,6 +95,27 @@
         until(lambda: len(re.findall(r"\breloaded\b", self.log())) >= 6)
 
 
+class DemosAtOnce(unittest.TestCase):
+    def test_each_gets_ports_of_its_own(self):
+        """Guards against two demonstrations that choose the same ports: one of them refused its connections."""
+        with tempfile.TemporaryDirectory() as folder, ExitStack() as running:
+            demos = [Demo(Path(folder, str(n)), port, 1, 2) for n, port in enumerate(free_ports(2))]
+            for each in demos:
+                each.rig.folder.mkdir()
+                running.push(each.__exit__)
+            gevent.joinall([gevent.spawn(each.start) for each in demos], raise_error=True)
+            for each in demos:
+                self.assertTrue(is_serving(each.port))
+                self.assertNotIn("front-end-died", (each.rig.folder / "front.err").read_text())
+
+    def test_a_port_that_another_process_has_taken_is_noticed(self):
+        with Live() as live, Rig(Path("unused")) as rig:
+            rig.processes["front"] = mock.Mock(alive=True, process=mock.Mock(pid=1))
+            with self.assertRaises(PortTaken):
+                rig.wait_until_linked("front", Address("127.0.0.1", live.port), 2, 5)
+            rig.processes.clear()
+
+
 class Ending(unittest.TestCase):
     def test_a_drain_answers_pending_calls_and_accepts_no_new_ones(self):
         with Live() as live:
--- a/threadshift/gateway/demo.py
+++ b/threadshift/gateway/demo.py
@@ -2,15 +2,16 @@
 from __future__ import annotations
 
 import time
+from contextlib import suppress
 from pathlib import Path
 
 import gevent
 
 from threadshift.conf.values import Address
-from threadshift.links.sockets import listener
-from threadshift.standins.rig import Rig, free_ports
+from threadshift.standins.rig import PortTaken, Rig, consecutive_ports
 
 READY_TIMEOUT_S = 20       # until the gateway must have links to all workers
+START_ATTEMPTS = 3         # each with other ports for the front ends' own
 CONF = """
 listen 127.0.0.1:{port}
 front-ends {front_ends}
@@ -66,13 +67,28 @@
             rig.start_standin(name, "worker", name=name, store=rig.addresses["store"])
         for name in names:
             rig.processes["roster"].order(f"worker {name} {rig.wait_for_address(name)}")
-        own_port = free_ports(1)[0] if self.front_ends == 1 else consecutive_ports(self.front_ends)
+        for _ in range(START_ATTEMPTS):
+            with suppress(PortTaken):
+                self.start_gateway()
+                return
+        raise RuntimeError(f"the gateway did not start: its ports were taken {START_ATTEMPTS} times")
+
+    def start_gateway(self) -> None:
+        """Starts the gateway and waits until it serves.
+
+        Raises PortTaken where another process has taken one of its front ends' own ports meanwhile."""
+        rig, own_port = self.rig, consecutive_ports(self.front_ends)
         conf = rig.folder / "threadshift.conf"
         conf.write_text(CONF.format(port=self.port, front_ends=self.front_ends, own=own_port,
                                     roster=rig.addresses["roster"]))
-        rig.start("front", "run", str(conf))
-        for at in [self.port] if self.front_ends == 1 else range(own_port, own_port + self.front_ends):
-            self.wait_until_ready(at)
+        gateway = rig.start("front", "run", str(conf))
+        ports = [self.port] if self.front_ends == 1 else range(own_port, own_port + self.front_ends)
+        try:
+            for port in ports:
+                self.wait_until_ready(port)
+        except PortTaken:
+            gateway.stop()
+            raise
 
     def wait_until_ready(self, port: int) -> None:
         if self.rig.wait_until_linked("front", Address("127.0.0.1", port), self.workers, READY_TIMEOUT_S):
@@ -86,14 +102,3 @@
         while time.monotonic() < until and self.rig.processes["front"].alive:
             gevent.sleep(0.1)
 
-
-def consecutive_ports(count: int) -> int:
-    """The first of `count` consecutive ports that were free a moment ago."""
-    for first in range(20_000, 30_000, count):
-        try:
-            for sock in [listener(Address("127.0.0.1", first + n), shared=False) for n in range(count)]:
-                sock.close()
-            return first
-        except OSError:
-            continue
-    raise RuntimeError(f"found no {count} consecutive free ports")
--- a/threadshift/standins/rig.py
+++ b/threadshift/standins/rig.py
@@ -1,11 +1,13 @@
 """Starts the gateway and its stand-ins as processes on loopback, passes orders to them, and stops them all."""
 from __future__ import annotations
 
+import json
 import os
 import random
 import signal
 import sys
 import time
+from contextlib import ExitStack, closing
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +16,7 @@
 
 from threadshift.conf import values
 from threadshift.conf.values import Address
+from threadshift.errors import ThreadshiftError
 from threadshift.invoke.client import Client, NoAnswer
 
 START_TIMEOUT = 20             # s until a started process must print its address; many start at once
@@ -43,6 +46,30 @@
             sock.close()
 
 
+def consecutive_ports(count: int) -> int:
+    """The first of `count` consecutive ports that are free now, drawn from the same range as free_ports().
+
+    Another process may take them before they are listened at: whoever uses them checks who answers there."""
+    low = lowest_ephemeral_port()
+    while True:
+        first = random.randrange(low // 2, low - count)
+        with ExitStack() as bound:
+            try:
+                for port in range(first, first + count):
+                    bound.enter_context(socket.socket()).bind(("127.0.0.1", port))
+            except OSError:
+                continue            # one of the ports is in use
+            return first
+
+
+def parent_of(pid: int) -> int:
+    """The process that started this one; 0 if that cannot be told."""
+    try:
+        return int(Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[1])
+    except (OSError, ValueError):
+        return 0
+
+
 def lowest_ephemeral_port() -> int:
     """The lowest port that the system assigns to sockets that are bound to none."""
     try:
@@ -51,6 +78,15 @@
         return DEFAULT_EPHEMERAL_PORT
 
 
+class PortTaken(ThreadshiftError):
+    """A process that is not of this rig answers at a port that was free a moment ago."""
+
+    def __init__(self, at: Address):
+        super().__init__(f"another process answers at {at}")
+
+    help = "choose another port"
+
+
 class Process:
     """One process that runs `python -m threadshift`."""
 
@@ -132,18 +168,25 @@
     def wait_until_linked(self, name: str, at: Address, workers: int, limit: float) -> bool:
         """Waits until the front end at this address has links to so many workers.
 
-        Returns False if it ends, or does not have them within `limit` seconds."""
-        client, deadline = Client(at), time.monotonic() + limit
-        while time.monotonic() < deadline and self.processes[name].alive:
-            try:
-                if client.request("GET", "/v1/status").body.count(b'"link": true') == workers:
-                    client.close()
-                    return True
-            except NoAnswer:
-                pass
-            gevent.sleep(0.05)
+        Returns False if it ends, or does not have them within `limit` seconds. Raises PortTaken."""
+        deadline = time.monotonic() + limit
+        with closing(Client(at)) as client:
+            while time.monotonic() < deadline and self.processes[name].alive:
+                try:
+                    status = json.loads(client.request("GET", "/v1/status").body)
+                    if not self.is_process_of(name, status["pid"]):
+                        raise PortTaken(at)
+                    if sum(worker["link"] for worker in status["workers"].values()) == workers:
+                        return True
+                except NoAnswer:
+                    pass
+                gevent.sleep(0.05)
         return False
 
+    def is_process_of(self, name: str, pid: int) -> bool:
+        """Whether this is the process of that name or one that it started, as far as can be told."""
+        return self.processes[name].process.pid in (pid, parent_of(pid) or self.processes[name].process.pid)
+
     def kill(self, name: str) -> None:
         """Ends a process with SIGKILL, like a crash."""
         process = self.processes[name].process
