A limit of very many free load orders no longer fills the memory at the start

What callers saw: a front end whose settings allow 1e9 free load orders a window ended at its start with MemoryError or took 8 GB; with 1e19 and more it ended with OverflowError.

Cause: at the start every free order counts as given, and one entry was made for each.

Evidence: each number of a configuration set to 15 extremes, one at a time: familyInfo.loadFree failed in engine/previous_process.py with 1e18, 1e19, 1e300, 1.7e308 and -1e300.

Change: at most 100,000 are counted, more than a process can give within a window.

--- a/threadshift/engine/previous_process.py
+++ b/threadshift/engine/previous_process.py
@@ -9,6 +9,8 @@
 from threadshift.choice import Dispatcher
 from threadshift.interface import Deployment
 
+MAX_PREVIOUS_ORDERS = 100_000      # more than a process can give within a window
+
 
 def count_free_orders_as_given(dispatcher: Dispatcher, deployment: Deployment, now: int) -> None:
     """Counts every free load order of the window as given just before the start. The share of admitted calls that
@@ -18,4 +20,5 @@
     1/load_ratio brings a copy. Where workers load on a miss themselves, the first calls load all the same.
     """
     if deployment.load_window:
-        dispatcher.recent_load_orders.extend([now] * int(deployment.load_free))
+        free_orders = int(max(0.0, min(deployment.load_free, MAX_PREVIOUS_ORDERS)))
+        dispatcher.recent_load_orders.extend([now] * free_orders)
