Tiny quotas and huge numbers of front ends no longer end the start with a traceback

Cause: the time between two calls of a tenant's share is the quotient of the number of front ends and the quota. It overflowed to infinity, or its dividend did not fit a float.

Change: the time between two calls of a share is 146 years at most, so such a quota means no calls in any time that matters; over a million front ends are refused by name, with the file.

Test: test_extreme_numbers_are_refused_by_name_or_start draws up to three numbers of a configuration and sets them to extremes, for the whole start and three calls, 600 examples.

--- a/tests/test_other_customers.py
+++ b/tests/test_other_customers.py
@@ -1,13 +1,16 @@
 """Settings of other installations: with random valid ones requests are answered and the rules hold; invalid ones are
 reported in one line."""
 import json
+import math
+import time
 import unittest
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from tests.helpers import listing
-from tests.platform import SETTINGS, Platform, configuration
+from tests.live import RecordingLog
+from tests.platform import SETTINGS, Platform, configuration, event, instance
 from tests.test_engine import Fleet
 from threadshift.choice import Dispatcher
 from threadshift.conf.settings import InvalidInput
@@ -16,10 +19,27 @@
 from threadshift.interface import MS, SECOND, Copy, Effect, Outcome
 from threadshift.invoke.admission import Admission
 from threadshift.node.descriptors import Descriptors
+from threadshift.node.front import Node
 from threadshift.node.shutdown import Shutdown
 from threadshift.node.front_end_config import parse_config
 
 EFFECTS = ("safe", "keyed", "unsafe")
+EXTREMES = (0, -1, 0.5, 1e-9, 5e-324, 2.2e-309, 1e-300, 1e9, 1e18, 1e19, 1e300, 1.7e308, -1e300, math.inf, math.nan)
+EXTREME_BASE = configuration(
+    settings=SETTINGS | {"orgs": [{"name": "a", "share": 1.0, "quotaPerS": 10.0}], "fees": {"crossZone": 0.1}},
+    known={"index": 1, "updates": [event(1, instance("s-0", "127.0.0.1:9"), full=True)]})
+
+
+def numbers(value, path=()):
+    """Yields the path of each number in nested JSON."""
+    if isinstance(value, dict | list):
+        for name, part in value.items() if isinstance(value, dict) else enumerate(value):
+            yield from numbers(part, (*path, name))
+    elif isinstance(value, int | float) and not isinstance(value, bool):
+        yield path
+
+
+NUMBERS = tuple(numbers(EXTREME_BASE))
 NAME = st.text("abcXYZ019._-", min_size=1, max_size=12)
 LANE = st.fixed_dictionaries(
     {"name": NAME, "aim": st.floats(1, 60_000), "effect": st.sampled_from(EFFECTS), "worth": st.floats(0, 1000)},
@@ -102,6 +122,38 @@
                 self.assertFalse(ran and answers and answers[0].final is FinalKind.REJECTED)
             self.assertLessEqual(len(pending.sends), config.deployment.max_sends)
 
+    @settings(max_examples=600, deadline=None, derandomize=True)
+    @given(st.lists(st.tuples(st.sampled_from(NUMBERS), st.sampled_from(EXTREMES)), min_size=1, max_size=3))
+    def test_extreme_numbers_are_refused_by_name_or_start(self, changes):
+        """Guards against starts that end with a traceback, as of a quota of 5e-324 calls a second."""
+        content = json.loads(json.dumps(EXTREME_BASE))
+        for path, extreme in changes:
+            *places, name = path
+            target = content
+            for place in places:
+                target = target[place]
+            target[name] = extreme
+        try:
+            config = parse_config(json.loads(json.dumps(content)), {}, "/run/config.json")
+        except InvalidInput as refused:
+            self.assertIn("/run/config.json", str(refused))
+            self.assertNotIn("\n", str(refused))
+            return
+        log = RecordingLog()
+        node = Node(config, {}, log)
+        node.join_known_workers()
+        config.link_settings(node.ready_workers)
+        type_ = config.deployment.types[0]
+        now = time.monotonic_ns()
+        node.engine.workers = node.engine.clients = fleet = Fleet()
+        fleet.engine = node.engine
+        for number in range(3):
+            node.engine.admit(now, f"c{number}", Call(type_.name, "f", type_.action_timeout, tenant="a"))
+        while node.engine.owed:
+            now = max(now, node.engine.due())
+            node.engine.tick(now)
+        self.assertEqual(log.of("fault"), [])
+
     def wait(self, engine, now, until):
         while engine.due() <= until:
             now = max(now, engine.due())
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -88,6 +88,7 @@
 
 # Tenants' shares.
 SHARE_SKEW = 1.2                 # a front end's part of a tenant's share, relative to an equal split
+MAX_SHARE_INTERVAL = 1 << 62     # ns between two calls of a share, over a hundred years; rates may be tiny
 SHARE_BURST = 12                 # calls of a share that can be saved up, as calls arrive at random
 LOW_PRIORITY_LIMIT = 0.6         # share of a worker's limit and pressure open to low-priority activations
 
@@ -140,7 +141,7 @@
         self.cold_factor = deployment.fall_multiple * deployment.fall_time / COMPLETION_WINDOW
         # The time of this front end's part of a tenant's share that one call uses up, in ns; 0: unlimited.
         self.share_intervals = {
-            each.name: int(SECOND * deployment.front_ends / SHARE_SKEW / each.per_second)
+            each.name: int(min(MAX_SHARE_INTERVAL, SECOND * deployment.front_ends / SHARE_SKEW / each.per_second))
             if each.per_second > 0 else 0 for each in deployment.tenants}
         self.probe_allowance, self.may_probe = (
             MAX_EMPTY_ANSWERS if deployment.may_probe and self.has_many_front_ends else 0,
--- a/threadshift/conf/settings.py
+++ b/threadshift/conf/settings.py
@@ -16,6 +16,7 @@
 EFFECTS = {"safe": Effect.REPEATABLE, "keyed": Effect.DEDUPLICATED, "unsafe": Effect.ONCE_ONLY}
 FLAGS = {"0": False, "1": True, "false": False, "true": True}
 MAX_DEPTH = 8              # objects in objects; the settings need three
+MAX_FRONT_ENDS = 1_000_000
 # A load value has its long name in the simulator's protocol, and may have its short one on sockets.
 LONG_NAMES = {"queue": "backlog", "inflight": "outstanding", "util": "utilization"}
 
@@ -126,10 +127,13 @@
         return Tenant(settings.text(path + "name"), settings.number(path + "share", 0.0),
                       settings.number(path + "quotaPerS", 0.0))
 
+    front_ends = positive("peersTotal", settings.whole, 1)
+    if front_ends > MAX_FRONT_ENDS:
+        raise settings.error(f"has peersTotal={settings.values['peersTotal']}, over {MAX_FRONT_ENDS}")
     return Deployment(
         types=tuple(namespace_type(n) for n in range(settings.whole("lanes.count"))),
         tenants=tuple(tenant(n) for n in range(settings.whole("orgs.count", 0))),
-        front_ends=positive("peersTotal", settings.whole, 1),
+        front_ends=front_ends,
         zone=settings.text("zone", ""),
         cross_zone_fee=settings.number("fees.crossZone", 0.0),
         tick=settings.ns("tick", MS),
