Test of the audit: a sabotaged run in which the process stalled is played again

What was seen: test_rule_3_a_drain_is_ignored failed once beside other work: the sabotaged front end broke no rule.

Cause: the audit excuses what a stand-in received while it was not run and within a second after it, as it may have been sent long before. Front end, workers and client of this test share a process.

Change: where no rule is broken and the record of a stand-in says that it stood still, the sabotaged run is played again, five times at most; a run without a stall must break exactly its rule, as before. The run without sabotage is played once and must break none, as before.

--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -8,7 +8,7 @@
 import gevent
 
 from tests.live import Live
-from threadshift.audit.records import RecordedEvent, Unreadable, read
+from threadshift.audit.records import RecordedEvent, Unreadable, read, select_events
 from threadshift.audit.rules import SLACK, breaches
 from threadshift.engine.engine import RequestEngine
 from threadshift.interface import MS, SECOND, Deployment, Outcome
@@ -16,6 +16,7 @@
 DEPLOYMENT = Deployment((), drain_grace=SECOND, cold_share=0.2, cold_time=10 * SECOND, fall_multiple=2.0,
                         fall_time=SECOND, load_window=5 * SECOND, load_free=2, load_ratio=0.2)
 T0 = 1000 * SECOND
+MAX_STALLED_RUNS = 5       # of a sabotaged front end whose stand-ins were not run in time
 ONCE_ONLY = dict(front=0, type="t", effect="once-only", left_ms=1000, first="a", deferred=False)
 REPEATABLE = ONCE_ONLY | {"effect": "repeatable"}
 SENT = dict(front="front-0", mark="a", work_ms=10.0)
@@ -155,16 +156,22 @@
     """Runs each scenario with a real and a sabotaged front end; only the second may break a rule, namely its own."""
 
     def verdict(self, settings, run, sabotage=None, **rig):
+        """The broken rules, and whether a stand-in noticed that the process had stalled."""
         with tempfile.TemporaryDirectory() as folder:
             with Live(records=folder, **rig) as live:
                 if sabotage:
                     sabotage(live)
                 run(live, RecordingClient(live, folder))
-            return {each.rule for each in breaches(read(Path(folder)), settings, 2)}
+            events = read(Path(folder))
+            return {each.rule for each in breaches(events, settings, 2)}, bool(select_events(events, "stood-still"))
 
     def check(self, rule, settings, run, sabotage, **rig):
-        self.assertEqual(self.verdict(settings, run, **rig), set())
-        self.assertEqual(self.verdict(settings, run, sabotage, **rig), {rule})
+        self.assertEqual(self.verdict(settings, run, **rig)[0], set())
+        for _ in range(MAX_STALLED_RUNS):
+            broken, has_stalled = self.verdict(settings, run, sabotage, **rig)
+            if broken or not has_stalled:
+                break               # else the audit excuses what is read late, so the sabotage may not show
+        self.assertEqual(broken, {rule})
 
     def test_rule_1_an_answer_is_dropped(self):
         def drop(live):
