An update of the worker list while links are ended no longer ends the daemon

What callers saw: calls of a living front end without a final answer, "connection reset", and then connections refused.

Cause: the front end crashed. Its timer ends the links to workers that are gone, in a loop over the set of them. Ending a link of the daemon waits for its greenlet, other greenlets run meanwhile, and an update of the worker list changes the set: "RuntimeError: Set changed size during iteration", and an unexpected error in the timer ends the process, as intended. The loop over all links at the end of a drain has the same fault. On the platform links end without waiting, so the node is not concerned.

Change: both loops run over a copy, and a worker that has come back meanwhile keeps its link.

Tests: two in tests/test_gateway.py, which make an update come while a link ends; both fail on the text before.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -243,6 +243,26 @@
 class Membership(unittest.TestCase):
     """Updates of workers from the feed and from the workers themselves, through a running front end."""
 
+    def test_an_update_while_links_to_gone_workers_are_ended_does_not_end_the_process(self):
+        """Guards against a crash in production: ending a link lets other greenlets run, and so updates."""
+        with Live() as live:
+            listed = {name: live.front.registry.known[name].entry for name in live.workers}
+            live.front.on_list([replace(each, state=WorkerState.GONE) for each in listed.values()], False)
+            for name, other in (("w0", "w1"), ("w1", "w0")):
+                link, returning = live.front.links[name], replace(listed[other])
+                link.stop = lambda stop=link.stop, returning=returning: (
+                    live.front.on_list([returning], False), stop())
+            live.front.remove_gone_workers()
+            self.assertEqual(len(live.front.links), 1)
+
+    def test_an_update_while_the_links_are_ended_does_not_end_the_process_early(self):
+        with Live() as live:
+            for link in live.front.links.values():
+                link.stop = lambda stop=link.stop: (live.front.links.setdefault("late", mock.Mock()), stop())
+            live.front.end()
+            live.running.join(5)
+            self.assertTrue(live.running.successful())
+
     def test_a_lost_feed_is_logged_and_the_last_list_remains_valid(self):
         with Live() as live:
             live.feed.stop()
--- a/threadshift/gateway/base_front_end.py
+++ b/threadshift/gateway/base_front_end.py
@@ -223,10 +223,12 @@
                 self.links[each.worker].withdraw_unsent()
 
     def remove_gone_workers(self) -> None:
-        """Ends links to workers that are gone, once nothing waits for an answer from them."""
-        for name in self.registry.gone:
+        """Ends links to workers that are gone, once nothing waits for an answer from them.
+
+        Updates of the worker list may be applied while a link is stopped, as that may switch to another greenlet."""
+        for name in list(self.registry.gone):
             link = self.links.get(name)
-            if link is not None and not link.busy:
+            if link is not None and name in self.registry.gone and not link.busy:
                 del self.links[name]
                 link.stop()
         self.registry.forget(time.monotonic_ns(), self.links)
--- a/threadshift/gateway/front_end.py
+++ b/threadshift/gateway/front_end.py
@@ -287,7 +287,7 @@
             self.replicated_services.stop()
         if self.service_announcer is not None:
             self.service_announcer.speaker.stop("drained")
-        for link in self.links.values():
+        for link in list(self.links.values()):      # stopping one may let an update of the worker list be applied
             link.stop()
         self.connections.kill()
         self.admin_connections.kill()
