--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -116,6 +116,11 @@
         with self.assertRaisesRegex(ConfigurationError, "uneven 0.5"):
             read_text(DAY.replace("uneven 2", "uneven 0.5"))
 
+    def test_traffic_whose_functions_have_another_type_is_refused(self):
+        """Guards against clients that believe in once-only calls where the gateway takes them for repeatable ones."""
+        with self.assertRaisesRegex(ConfigurationError, "traffic once.*type 't', not 'once'"):
+            read_text(PROCESSES.replace("functions once-* {\n    type once", "functions once-* {\n    type t"))
+
 
 PROCESSES = """
 length 7s
@@ -139,6 +144,10 @@
     action-timeout 2500ms
     effect once-only
 }
+functions once-* {
+    type once
+    lanes 2
+}
 functions * {
     type t
     lanes 2
--- a/threadshift/days/fault_scenario.py
+++ b/threadshift/days/fault_scenario.py
@@ -231,9 +231,18 @@
     types = [each.name for each in config.deployment.types]
     if found["type"] not in types:
         raise line.error(f"traffic {line.words[0]}: no type '{found['type']}'{nearest(found['type'], types)}")
+    mapped = config.function(function_name(line.words[0], 0))
+    if mapped is not None and mapped[1].name != found["type"]:
+        raise line.error(f"traffic {line.words[0]}: by their 'functions' block its functions have the type "
+                         f"'{mapped[1].name}', not '{found['type']}'")
     return Traffic(line.words[0], **as_field_names(found))
 
 
+def function_name(traffic: str, rank: int) -> str:
+    """The name of the function with this rank that calls of a kind of traffic are for."""
+    return f"{traffic}-{rank:03}"
+
+
 def parse_fault(line: Directive, length: int, fleet: WorkerFleet, front_ends: int,
                 draw: Callable[[], float]) -> Fault:
     """Reads 'trouble crash at 6s for 5s workers 1'; what the line leaves out is drawn or has a default."""
--- a/threadshift/days/traffic.py
+++ b/threadshift/days/traffic.py
@@ -11,7 +11,7 @@
 from itertools import accumulate
 from typing import NamedTuple
 
-from threadshift.days.fault_scenario import Fault, FaultScenario, Traffic
+from threadshift.days.fault_scenario import Fault, FaultScenario, Traffic, function_name
 from threadshift.interface import MS, NamespaceType, Tenant
 
 ANY_FRONT_END = -1         # as the number of a front end: the one that the router chooses
@@ -51,7 +51,7 @@
     """Function names, drawn by a Zipf law."""
 
     def __init__(self, traffic: Traffic):
-        self.names = [f"{traffic.name}-{n:03d}" for n in range(traffic.functions)]
+        self.names = [function_name(traffic.name, n) for n in range(traffic.functions)]
         self.sums = list(accumulate(1 / (n + 1) ** traffic.zipf for n in range(traffic.functions)))
 
     def draw(self, point: float, drifted: int = 0) -> str:
