Policy: choose_worker is split into the steps of its decision

It was one function of 90 lines: who comes in turn, who may take the activation, the last resort, the first copy, and what to do beside busy copies. Each is a method of its own now, with the same expressions in the same order.

--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -141,7 +141,8 @@
         self.cold_factor = deployment.fall_multiple * deployment.fall_time / COMPLETION_WINDOW
         # The time of this front end's part of a tenant's share that one call uses up, in ns; 0: unlimited.
         self.share_intervals = {
-            each.name: int(min(MAX_SHARE_INTERVAL, SECOND * deployment.front_ends / SHARE_SKEW / each.per_second))
+            each.name: int(min(
+                MAX_SHARE_INTERVAL, SECOND * deployment.front_ends / SHARE_SKEW / each.per_second))
             if each.per_second > 0 else 0 for each in deployment.tenants}
         self.probe_allowance, self.may_probe = (
             MAX_EMPTY_ANSWERS if deployment.may_probe and self.has_many_front_ends else 0,
@@ -436,7 +437,33 @@
         """Returns the worker for the next send; None if it is parked now or no worker may take it.
 
         Where another copy seems useful, orders a load as well."""
-        function, candidates, chosen = activation.function, [], None
+        function, relative_cost = activation.function, self.relative_cost(activation)
+        candidates, chosen = self.find_candidates(activation, relative_cost, now)
+        if not candidates:
+            return self.choose_last_resort(activation, now)
+        warm = [worker for worker in candidates if self.is_warm_for(worker, function, now)]
+        if not warm:
+            return self.choose_for_first_copy(activation, candidates, now)
+        first = candidates[0]
+        if chosen is None:
+            if activation.low_priority:
+                return None
+            first = next(
+                (worker for worker in candidates if worker not in warm and self.has_capacity(worker, now)),
+                first)
+            chosen = self.choose_beside_busy_copies(activation, candidates, warm, relative_cost, now)
+        if first not in warm and chosen is not first and self.has_capacity(first, now):
+            self.order_load(first, function, now)
+        return chosen
+
+    def relative_cost(self, activation: Activation) -> float:
+        """The cost of an activation relative to its type's, at least 1; more where it has low priority."""
+        return max(1.0, self.expected_latency(activation) / activation.type_stats.typical_latency) / (
+            LOW_PRIORITY_LIMIT if activation.low_priority else 1.0)
+
+    def workers_in_turn(self, activation: Activation) -> Iterator[Worker]:
+        """Yields the primaries of a function, which take turns, and then its next workers on the ring."""
+        function = activation.function
         ready = list(self.ring_candidates(function))
         primaries = ready[:function.spread]
         function.primaries = dict.fromkeys(primaries)
@@ -450,79 +477,90 @@
             bisect.bisect(cumulative_sizes, activation.turn * TURN_STEP % 1.0 * cumulative_sizes[-1]),
             len(cumulative_sizes) - 1)
         first_far = activation.turn % max(1, len(far))
+        yield from chain(
+            near[first_near:], near[:first_near], far[first_far:], far[:first_far], ready[function.spread:])
+
+    def find_candidates(self, activation: Activation, relative_cost: float, now: int) -> tuple[
+            list[Worker], Worker | None]:
+        """Returns workers that may take the activation, in turn, up to the first with a free copy.
+
+        That one is returned as well; None if there is none among CANDIDATE_LIMIT workers."""
+        function, candidates = activation.function, []
         # A worker that has got a copy since, such as by a load order after a miss, is worth another try.
         tried = [send.worker for send in activation.sends if not send.worker.has_copy(
             function, send.sent_at + self.idle_keep_alive)]
-        relative_cost = max(
-            1.0, self.expected_latency(activation) / activation.type_stats.typical_latency) / (
-            LOW_PRIORITY_LIMIT if activation.low_priority else 1.0)
-        untried = (
-            worker for worker in chain(
-                near[first_near:], near[:first_near], far[first_far:], far[:first_far],
-                ready[function.spread:])
-            if worker not in tried)
+        untried = (worker for worker in self.workers_in_turn(activation) if worker not in tried)
         eligible = (worker for worker in chain(untried, tried)
                     if worker.ready and self.is_eligible(worker, activation, now))
         for worker in islice(eligible, CANDIDATE_LIMIT):
             if candidates and worker in tried:
                 break
             candidates.append(worker)
-            home = primaries[0] if function.spread > 1 else candidates[0]
-            # Once warmed up, home may exceed the cap, though not its own limit.
-            if self.is_warm_for(worker, function, now) and (
-                    worker.count_sends(function) < function.own_lanes) and (
-                    not activation.low_priority
-                    or len(worker.sends) < LOW_PRIORITY_LIMIT * worker.in_flight_limit) and (
-                    self.has_capacity(worker, now, relative_cost)
-                    or worker is home and self.warmup_progress(home, now) >= 1
-                    and self.pressure(home, now) * relative_cost <= 1
-                    and len(worker.sends) < worker.in_flight_limit):
-                chosen = worker
-                break
-        if not candidates:
-            # All workers look bad, by a common cause: suspensions are ignored, cold workers stay protected.
-            return next((
-                worker for worker in islice(self.clockwise_workers(function), FALLBACK_CANDIDATE_LIMIT)
-                if self.has_cold_capacity(worker, activation, now)), None)
-        first, warm = candidates[0], [
-            worker for worker in candidates if self.is_warm_for(worker, function, now)]
-        if not warm:
-            loading = next((worker for worker in candidates if worker.is_loading(function)), None)
-            if loading is None and self.may_load(now):
-                # Not necessarily home: that of a function with a spread may be cold or suspended.
-                return next((worker for worker in candidates if self.has_capacity(worker, now)), first)
-            if loading is None and self.cannot_load_in_time(activation, now):
-                return None
-            if loading is not None and loading.count_sends(function) < function.own_lanes:
-                return loading
-            # More activations waiting there than it has lanes would make it load copy after copy.
-            if len(self.parked_activations(function)) < MAX_PARKED_PER_LANE * function.lanes and (
-                    not activation.low_priority):
-                function.parked.append(activation)
+            home = next(iter(function.primaries)) if function.spread > 1 else candidates[0]
+            if self.has_free_copy(worker, home, activation, relative_cost, now):
+                return candidates, worker
+        return candidates, None
+
+    def has_free_copy(self, worker: Worker, home: Worker, activation: Activation, relative_cost: float,
+                      now: int) -> bool:
+        """Whether the worker has a copy that is free for the activation, and may take more load.
+
+        Once warmed up, home may exceed the cap, though not its own limit."""
+        function = activation.function
+        return self.is_warm_for(worker, function, now) and (
+            worker.count_sends(function) < function.own_lanes) and (
+            not activation.low_priority
+            or len(worker.sends) < LOW_PRIORITY_LIMIT * worker.in_flight_limit) and (
+            self.has_capacity(worker, now, relative_cost)
+            or worker is home and self.warmup_progress(home, now) >= 1
+            and self.pressure(home, now) * relative_cost <= 1
+            and len(worker.sends) < worker.in_flight_limit)
+
+    def choose_last_resort(self, activation: Activation, now: int) -> Worker | None:
+        """Returns a worker where all look bad, by a common cause.
+
+        Suspensions are ignored, and cold workers stay protected."""
+        return next((
+            worker for worker in islice(self.clockwise_workers(activation.function), FALLBACK_CANDIDATE_LIMIT)
+            if self.has_cold_capacity(worker, activation, now)), None)
+
+    def choose_for_first_copy(self, activation: Activation, candidates: list[Worker],
+                              now: int) -> Worker | None:
+        """Returns the worker that gets the first copy; None if the activation is parked or cannot wait."""
+        function = activation.function
+        loading = next((worker for worker in candidates if worker.is_loading(function)), None)
+        if loading is None and self.may_load(now):
+            # Not necessarily home: that of a function with a spread may be cold or suspended.
+            return next((worker for worker in candidates if self.has_capacity(worker, now)), candidates[0])
+        if loading is None and self.cannot_load_in_time(activation, now):
+            return None
+        if loading is not None and loading.count_sends(function) < function.own_lanes:
+            return loading
+        # More activations waiting there than it has lanes would make it load copy after copy.
+        if len(self.parked_activations(function)) < MAX_PARKED_PER_LANE * function.lanes and (
+                not activation.low_priority):
+            function.parked.append(activation)
+        return None
+
+    def choose_beside_busy_copies(self, activation: Activation, candidates: list[Worker], warm: list[Worker],
+                                  relative_cost: float, now: int) -> Worker | None:
+        """Returns the least loaded worker with a copy, or one for another copy; else, or if parked, None."""
+        function = activation.function
+        able = [worker for worker in warm if len(worker.sends) < worker.in_flight_limit * (
+            LOW_PRIORITY_LIMIT if activation.low_priority else 1.0) and (
+            self.pressure(worker, now) * relative_cost * LATENCY_GOAL <= (
+                1.0 if self.relies_on_reports else activation.type_stats.relative_utility))]
+        able.sort(key=lambda worker: (
+            self.relies_on_reports and self.pressure(worker, now),
+            len(worker.sends) / worker.in_flight_limit))
+        chosen = able[0] if able else next(
+            (worker for worker in candidates
+             if self.has_capacity(worker, now) and self.may_load(now, EXTRA_COPY_SHARE)), None)
+        if len(self.parked_activations(function)) < function.lanes and any(
+                worker.count_sends(function) for worker in warm):
+            # Sent to another worker, it would make that start a copy which few calls use.
+            function.parked.append(activation)
             return None
-        if chosen is None:
-            if activation.low_priority:
-                return None
-            first = next(
-                (worker for worker in candidates if worker not in warm and self.has_capacity(worker, now)),
-                first)
-            able = [worker for worker in warm if len(worker.sends) < worker.in_flight_limit * (
-                LOW_PRIORITY_LIMIT if activation.low_priority else 1.0) and (
-                self.pressure(worker, now) * relative_cost * LATENCY_GOAL <= (
-                    1.0 if self.relies_on_reports else activation.type_stats.relative_utility))]
-            able.sort(key=lambda worker: (
-                self.relies_on_reports and self.pressure(worker, now),
-                len(worker.sends) / worker.in_flight_limit))
-            chosen = able[0] if able else next(
-                (worker for worker in candidates
-                 if self.has_capacity(worker, now) and self.may_load(now, EXTRA_COPY_SHARE)), None)
-            if len(self.parked_activations(function)) < function.lanes and any(
-                    worker.count_sends(function) for worker in warm):
-                # Sent to another worker, it would make that start a copy which few calls use.
-                function.parked.append(activation)
-                chosen = None
-        if first not in warm and chosen is not first and self.has_capacity(first, now):
-            self.order_load(first, function, now)
         return chosen
 
     def cannot_load_in_time(self, activation: Activation, now: int) -> bool:
