--- a/tests/test_drain_grace.py
+++ b/tests/test_drain_grace.py
@@ -296,14 +296,22 @@
 
 
 class WithinOneEvent(unittest.TestCase):
+    @staticmethod
+    def ask_silent_worker(it):
+        """Sends a request to one of two silent workers.
+
+        Returns the client, the numbers of that worker and of the other one, and a worker that could replace it."""
+        client = it.client()
+        client.ask(left="900")
+        until(lambda: any(each.frames_with(INVOKE) for each in it.workers))
+        moved = next(n for n, each in enumerate(it.workers) if each.frames_with(INVOKE))
+        successor = Worker()
+        it.extra.append(successor)
+        return client, moved, 1 - moved, successor
+
     def test_retry_after_a_replaced_link_avoids_a_worker_drained_by_the_same_event(self):
         with Platform([silent, silent]) as it:
-            client = it.client()
-            client.ask(left="900")
-            until(lambda: any(each.frames_with(INVOKE) for each in it.workers))
-            moved = next(n for n, each in enumerate(it.workers) if each.frames_with(INVOKE))
-            successor, other = Worker(), 1 - moved
-            it.extra.append(successor)
+            client, moved, other, successor = self.ask_silent_worker(it)
             it.coordinator.publish(event(2, instance(f"s-{moved}", successor.address),
                                      instance(f"s-{other}", it.workers[other].address, "Terminating")))
             self.assertEqual(client.answer()[0], 200)
@@ -311,12 +319,7 @@
 
     def test_retry_after_a_replaced_link_avoids_a_worker_drained_by_the_next_event_of_the_same_read(self):
         with Platform([silent, silent]) as it:
-            client = it.client()
-            client.ask(left="900")
-            until(lambda: any(each.frames_with(INVOKE) for each in it.workers))
-            moved = next(n for n, each in enumerate(it.workers) if each.frames_with(INVOKE))
-            successor, other = Worker(), 1 - moved
-            it.extra.append(successor)
+            client, moved, other, successor = self.ask_silent_worker(it)
             it.coordinator.publish(event(2, instance(f"s-{moved}", successor.address)))
             it.coordinator.publish(event(3, instance(f"s-{other}", it.workers[other].address, "Terminating")))
             self.assertEqual(client.answer()[0], 200)
