A stall in the wait after a stall is noticed too

Cause: after a stall the timer waits 10 ms for what arrived in it to be read, and the next tick counts from the end of that wait. A second stall that falls in the wait was neither logged nor counted, and timeouts were acted upon without reading what arrived in it.

Evidence: a gateway in one process, blocked for 90 ms and, once that is logged, for 200 ms: longest stall 87 ms, one line in the log; with a tick awaited in between 196 ms and two lines.

Change: the timer waits again where it stalled in its wait, three times at most.

Test: test_a_stall_right_after_another_is_detected_too fails on the text before.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -16,7 +16,7 @@
 import gevent
 from gevent import socket
 
-from tests.live import Live, until
+from tests.live import Live, block_process, until
 from threadshift.conf.values import Address
 from threadshift.gateway.demo import Demo
 from threadshift.gateway.restart_backoff import FIRST_DELAY, MAX_DELAY, STABLE_RUNTIME, RestartBackoff
@@ -180,6 +180,14 @@
             until(lambda: live.front.longest_stall >= 100 * MS)
             self.assertGreaterEqual(max(each["late_ms"] for each in live.log.of("stalled")), 100)
 
+    def test_a_stall_right_after_another_is_detected_too(self):
+        """Guards against missing a stall in the wait that follows another one."""
+        with Live() as live:
+            block_process(0.09)
+            until(lambda: live.log.of("stalled"))
+            block_process(0.2)
+            until(lambda: live.front.longest_stall >= 150 * MS)
+
     def test_a_call_that_waited_unread_loses_that_time(self):
         """Guards against giving a call that is read after a stall its whole time again and answering it too late."""
         with Live() as live:
--- a/threadshift/gateway/base_front_end.py
+++ b/threadshift/gateway/base_front_end.py
@@ -23,6 +23,7 @@
 JOIN_BATCH = 32            # new workers added at a time: some ms of work, also on a part of a core
 UPDATE_READ_WAIT = MS      # for an update of the worker list that has arrived to be read ...
 MAX_UPDATE_READS = 10      # ... and how often to wait, as a flood of updates never ends
+MAX_STALLS_IN_SERIES = 3   # after which a tick goes on, as an overloaded event loop looks like a stalled one
 
 
 class AnyLink(Protocol):
@@ -119,13 +120,7 @@
 
     def on_tick(self, now: int, late: int) -> int:
         """Does what is due at a tick, for any protocol. Returns the time afterwards, as it may have waited."""
-        if late >= STALL_THRESHOLD:
-            self.stalls += 1
-            self.longest_stall = max(self.longest_stall, late)
-            self.note("stalled", level="warning", late_ms=late // MS, owed=self.engine.owed)
-            # Timeouts may cause sends; updates of the worker list that arrived meanwhile must be read before.
-            gevent.sleep(CATCH_UP_TIME / SECOND)
-            now = time.monotonic_ns()
+        now = self.wait_after_stalls(now, late)
         is_due = self.engine.due() <= now
         if is_due and self.has_unread_update():
             self.read_updates()
@@ -144,6 +139,22 @@
             self.log.tick(now)
         return now
 
+    def wait_after_stalls(self, now: int, late: int) -> int:
+        """Waits after a stall, as timeouts may cause sends and updates that arrived meanwhile must be read before.
+
+        Waits again where the process stalls in that wait. Returns the time afterwards."""
+        for _ in range(MAX_STALLS_IN_SERIES):
+            if late < STALL_THRESHOLD:
+                break
+            self.stalls += 1
+            self.longest_stall = max(self.longest_stall, late)
+            self.note("stalled", level="warning", late_ms=late // MS, owed=self.engine.owed)
+            waits_until = now + CATCH_UP_TIME
+            gevent.sleep(CATCH_UP_TIME / SECOND)
+            now = time.monotonic_ns()
+            late = now - waits_until
+        return now
+
     # Updates of workers.
 
     def on_list(self, entries: Collection[WorkerEntry], full: bool) -> None:
