Ports of a rig stay reserved until it stops

Change: a rig holds its ports by bound sockets that do not listen and permit reuse, set after the bind: whoever draws finds them in use, and the rig's processes listen there as often as they start.

--- a/benchmarks/bgp.py
+++ b/benchmarks/bgp.py
@@ -38,7 +38,8 @@
 from threadshift.invoke.client import Client
 from threadshift.standins.common import Record
 from threadshift.standins.feed import RosterFeed
-from threadshift.standins.rig import Rig, free_ports
+from threadshift.standins.ports import free_ports
+from threadshift.standins.rig import Rig
 from threadshift.standins.router import Router
 from threadshift.standins.store import PackStore
 from threadshift.standins.worker import Machine, Worker
--- a/benchmarks/flood.py
+++ b/benchmarks/flood.py
@@ -23,7 +23,7 @@
 
 from threadshift.conf.values import Address
 from threadshift.invoke.client import Client, NoAnswer
-from threadshift.standins.rig import free_ports
+from threadshift.standins.ports import free_ports
 
 HERE = Path(__file__).resolve()
 KINDS = ("none", "tenant", "hot", "names", "once-only", "deferred", "connections", "nobody", "unmarked", "status")
--- a/benchmarks/front_end.py
+++ b/benchmarks/front_end.py
@@ -21,7 +21,7 @@
 from gevent import socket
 from hdrh.histogram import HdrHistogram
 
-from threadshift.standins.rig import free_ports
+from threadshift.standins.ports import free_ports
 
 HERE = Path(__file__).parent
 LOADERS = 2                # load processes; one alone is slower than the relay
--- a/benchmarks/together.py
+++ b/benchmarks/together.py
@@ -201,7 +201,7 @@
     import gevent
 
     from tests.live import Live, until
-    from threadshift.standins.rig import free_ports
+    from threadshift.standins.ports import free_ports
     rates: dict[str, list[float]] = {"off": [], "on": []}
     for kind in ("off", "on") * 6:
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -12,7 +12,7 @@
 import threadshift
 from threadshift.conf.values import Address
 from threadshift.invoke.client import Client, NoAnswer
-from threadshift.standins.rig import Rig, free_ports
+from threadshift.standins.rig import Rig
 
 CONF = """
 listen 127.0.0.1:{port}
@@ -65,7 +65,7 @@
         self.folder = Path(self.scratch.name)
         self.rig = Rig(self.folder)
         self.names = [f"f{n}" for n in range(fronts)]
-        ports = iter(free_ports(3 * fronts))
+        ports = iter(self.rig.ports.reserve(3 * fronts))
         self.port, self.peer_port, self.admin_port = ({name: next(ports) for name in self.names} for _ in range(3))
         self.memory_mb, self.supervised = memory_mb, supervised
         self.python_path = os.environ.get("PYTHONPATH")
--- a/tests/live.py
+++ b/tests/live.py
@@ -14,7 +14,7 @@
 from threadshift.links.sockets import listener
 from threadshift.standins.common import Record
 from threadshift.standins.feed import RosterFeed
-from threadshift.standins.rig import free_ports
+from threadshift.standins.ports import free_ports
 from threadshift.standins.store import PackStore
 from threadshift.standins.worker import Machine, Worker
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -23,7 +23,8 @@
 from threadshift.interface import MS, SECOND, WorkerState
 from threadshift.invoke.client import Client, NoAnswer
 from threadshift.standins.common import Record
-from threadshift.standins.rig import PortTaken, Rig, free_ports
+from threadshift.standins.ports import free_ports
+from threadshift.standins.rig import PortTaken, Rig
 from threadshift.standins.worker import Machine, Worker
 
 
--- a/threadshift/days/play.py
+++ b/threadshift/days/play.py
@@ -18,7 +18,7 @@
 from threadshift.interface import MS, SECOND
 from threadshift.invoke.client import Client, NoAnswer
 from threadshift.standins.common import Record
-from threadshift.standins.rig import Rig, free_ports
+from threadshift.standins.rig import Rig
 
 READY_TIMEOUT = 30         # s until every front end must have a link to every worker
 CLIENTS_END_TIMEOUT = 3    # s beyond the time that all calls may take, until the clients must have ended
@@ -79,7 +79,8 @@
             self.list_worker(name)
         warm_at = time.monotonic() + scenario.config.deployment.cold_time / SECOND
         # Behind a router all front ends have the same port, each at an address of its own, which is its next hop.
-        ports = free_ports(scenario.front_ends) if scenario.router is None else free_ports(1) * scenario.front_ends
+        ports = (rig.ports.reserve(scenario.front_ends) if scenario.router is None
+                 else rig.ports.reserve(1) * scenario.front_ends)
         hosts = [self.host(n) for n in range(scenario.front_ends)]
         if scenario.router is not None:
             self.start_router(ports[0], hosts)
@@ -103,7 +104,7 @@
         settings = self.scenario.router
         assert settings is not None
         peers = [f"--peer=front-{n}={host}={FIRST_AS + n}" for n, host in enumerate(hosts)]
-        at = Address("127.0.0.1", free_ports(1)[0])
+        at = Address("127.0.0.1", self.rig.ports.reserve(1)[0])
         self.rig.addresses["service"] = at
         self.rig.start("router", "standin", "router", "--listen=127.0.0.1:0", f"--service={SERVICE}={at}={port}",
                        f"--converge={settings.converge // MS}ms", f"--hold={settings.hold}",
@@ -116,7 +117,7 @@
         settings = self.scenario.router
         if settings is None:
             return ""
-        at = self.admin.setdefault(f"front-{n}", Address(self.host(n), free_ports(1)[0]))
+        at = self.admin.setdefault(f"front-{n}", Address(self.host(n), self.rig.ports.reserve(1)[0]))
         return (f"admin {at}\nbgp {{\nlocal-as {FIRST_AS + n}\nrouter-id 10.0.0.{n + 1}\nnext-hop {self.host(n)}\n"
                 f"hold-time {settings.hold}s\nreflects yes\naddress {SERVICE} {{\n}}\npeer router {{\n"
                 f"address {self.rig.addresses['router']}\nas 65000\nsource {self.host(n)}\n}}\n}}")
--- a/threadshift/gateway/demo.py
+++ b/threadshift/gateway/demo.py
@@ -8,7 +8,7 @@
 import gevent
 
 from threadshift.conf.values import Address
-from threadshift.standins.rig import PortTaken, Rig, consecutive_ports
+from threadshift.standins.rig import PortTaken, Rig
 
 READY_TIMEOUT_S = 20       # until the gateway must have links to all workers
 START_ATTEMPTS = 3         # each with other ports for the front ends' own
@@ -77,7 +77,7 @@
         """Starts the gateway and waits until it serves.
 
         Raises PortTaken where another process has taken one of its front ends' own ports meanwhile."""
-        rig, own_port = self.rig, consecutive_ports(self.front_ends)
+        rig, own_port = self.rig, self.rig.ports.reserve_consecutive(self.front_ends)
         conf = rig.folder / "threadshift.conf"
         conf.write_text(CONF.format(port=self.port, front_ends=self.front_ends, own=own_port,
                                     roster=rig.addresses["roster"]))
--- a/threadshift/standins/rig.py
+++ b/threadshift/standins/rig.py
@@ -3,63 +3,24 @@
 
 import json
 import os
-import random
 import signal
 import sys
 import time
-from contextlib import ExitStack, closing
+from contextlib import closing
 from pathlib import Path
 from typing import Any
 
 import gevent
-from gevent import socket, subprocess
+from gevent import subprocess
 
 from threadshift.conf import values
 from threadshift.conf.values import Address
 from threadshift.errors import ThreadshiftError
 from threadshift.invoke.client import Client, NoAnswer
+from threadshift.standins.ports import ReservedPorts
 
 START_TIMEOUT = 20             # s until a started process must print its address; many start at once
 STOP_TIMEOUT = 15              # s from SIGTERM to SIGKILL
-DEFAULT_EPHEMERAL_PORT = 32_768    # the usual lowest one, where the system's setting cannot be read
-
-
-def free_ports(count: int) -> list[int]:
-    """Ports that are free now; all are bound at once, so that they differ.
-
-    They lie below the range from which the system assigns ports: from within it, a port could be assigned to another
-    process before its own one listens. It was once given to a relay of the same test, so that an order to one front
-    end reached the peers of another."""
-    low = lowest_ephemeral_port()
-    socks: list[socket.socket] = []
-    try:
-        while len(socks) < count:
-            sock = socket.socket()
-            try:
-                sock.bind(("127.0.0.1", random.randrange(low // 2, low)))
-                socks.append(sock)
-            except OSError:
-                sock.close()        # the port is in use
-        return [sock.getsockname()[1] for sock in socks]
-    finally:
-        for sock in socks:
-            sock.close()
-
-
-def consecutive_ports(count: int) -> int:
-    """The first of `count` consecutive ports that are free now, drawn from the same range as free_ports().
-
-    Another process may take them before they are listened at: whoever uses them checks who answers there."""
-    low = lowest_ephemeral_port()
-    while True:
-        first = random.randrange(low // 2, low - count)
-        with ExitStack() as bound:
-            try:
-                for port in range(first, first + count):
-                    bound.enter_context(socket.socket()).bind(("127.0.0.1", port))
-            except OSError:
-                continue            # one of the ports is in use
-            return first
 
 
 def parent_of(pid: int) -> int:
@@ -70,14 +31,6 @@
         return 0
 
 
-def lowest_ephemeral_port() -> int:
-    """The lowest port that the system assigns to sockets that are bound to none."""
-    try:
-        return int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
-    except OSError:
-        return DEFAULT_EPHEMERAL_PORT
-
-
 class PortTaken(ThreadshiftError):
     """A process that is not of this rig answers at a port that was free a moment ago."""
 
@@ -140,6 +93,7 @@
         self.folder = folder
         self.processes: dict[str, Process] = {}
         self.addresses: dict[str, Address] = {}
+        self.ports = ReservedPorts()
 
     def __enter__(self) -> Rig:
         return self
@@ -200,3 +154,4 @@
                       [name for name in self.processes if not name.startswith("front")]):
             gevent.joinall([gevent.spawn(self.processes[name].stop) for name in names])
         self.processes.clear()
+        self.ports.release()
