Overdue requests are answered as soon as a stall is noticed

Cause: after a stall the timer waits 10 ms for what arrived meanwhile to be read, as timeouts may cause sends. Overdue answers waited too, behind the input of all links and clients, and the wait gives the core up.

Change: requests whose deadline has passed are given up when the stall is noticed. The policy decides on each as before (give_up_overdue); what follows, such as cancels, waits for the next tick. A result read after the deadline never counted, so no answer depends on what is unread.

Tests: two of the engine, a new event of its drawn histories, one of the gateway, which fails with the call taken out.

--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -113,6 +113,37 @@
         it.tick(SECOND)
         self.assertEqual([each.final for each in fleet.answers["a"]], [FinalKind.REJECTED])
 
+    def test_overdue_requests_are_answered_after_a_stall_before_anything_else_is_decided(self):
+        """Guards against overdue answers that wait until everything that arrived during a stall is read."""
+        for effect, may_cancel in ((Effect.REPEATABLE, True), (Effect.REPEATABLE, False), (Effect.ONCE_ONLY, True)):
+            it, fleet = make_engine(may_cancel=may_cancel)
+            overdue = it.admit(0, "a", make_call(effect, left=300 * MS))
+            it.admit(0, "b", make_call(effect, left=SECOND + 1))      # its time is not up, though its answer is due
+            before = len(fleet.log)
+            it.answer_overdue(SECOND)
+            self.assertEqual(list(fleet.answers), ["a"])
+            self.assertEqual((len(fleet.log), it.owed), (before, 1))
+            self.assertEqual(it.due(), SECOND)
+            overdue.on_send_ended(SECOND, 0, Outcome.COMPLETED)      # it was unread; the answer stays the first one
+            it.tick(SECOND)
+            self.assertEqual([each.final for each in fleet.answers["a"]],
+                             [FinalKind.ABORTED if effect is Effect.ONCE_ONLY else FinalKind.REJECTED])
+            while it.due() <= 2 * SECOND:
+                it.tick(it.due())
+            self.assertEqual((it.requests, it.owed, fleet.finished), ({}, 0, {"a", "b"}))
+
+    def test_a_worker_is_not_blamed_for_a_stall_in_which_a_request_became_overdue(self):
+        outcomes = []
+        for answers_first in (True, False):
+            it, fleet = make_engine(may_cancel=True)
+            pending = it.admit(0, "a", make_call(left=300 * MS))
+            if answers_first:
+                it.answer_overdue(SECOND)
+            it.tick(SECOND)
+            outcomes.append((pending.sends[0].outcome, fleet.log, fleet.answers["a"][0]._replace(retry_after=0)))
+        self.assertEqual(*outcomes)
+        self.assertIs(outcomes[0][0], Outcome.CANCELLED)
+
     def test_time_spent_in_this_process_does_not_count_as_the_workers(self):
         it, fleet = make_engine()
         pending = it.admit(0, "a", make_call())
@@ -173,6 +204,7 @@
     st.tuples(st.just("at once"), st.sampled_from([Outcome.UNREACHABLE, Outcome.FULL, Outcome.RESET])),
     st.tuples(st.just("wait"), st.integers(0, 700)),
     st.tuples(st.just("jump"), st.integers(-500, 5000)),
+    st.tuples(st.just("stall"), st.integers(50, 3000)),
 ), max_size=60)
 
 
@@ -247,6 +279,14 @@
         self.jumped += ms > 0
         self.it.tick(self.now)
 
+    def stall(self, ms):
+        """The process stalls. Overdue requests are answered before a tick, and before what arrived is read."""
+        self.now += ms * MS
+        self.jumped += 1
+        self.it.answer_overdue(self.now)
+        self.test.assertFalse([pending.id for pending in self.calls
+                               if not pending.is_settled and pending.deadline + MS < self.now])
+
     def check(self):
         test = self.test
         test.assertEqual((self.it.requests, self.it.owed, self.it.counts["overdue"] * (not self.jumped)), ({}, 0, 0))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -189,6 +189,28 @@
             block_process(0.2)
             until(lambda: live.front.longest_stall >= 150 * MS)
 
+    def test_overdue_calls_are_answered_before_what_arrived_during_a_stall_is_read(self):
+        """Guards against answers 381 ms after a stopped front end went on, on a machine with little room."""
+        with Live(1) as live:
+            live.call("f")
+            live.workers["w0"].execute_order(["hang", "9s"])
+            call = gevent.spawn(live.call, "f", time_left="300")
+            until(lambda: live.front.engine.owed)
+            ticks, tick = [], live.front.engine.tick
+            ticks_before, answer = [], live.front.engine.answer_client
+
+            def record_tick(now):
+                ticks.append(now)
+                tick(now)
+
+            def record_answer(*arguments):
+                ticks_before.append(len(ticks))
+                answer(*arguments)
+            live.front.engine.tick, live.front.engine.answer_client = record_tick, record_answer
+            block_process(0.5)
+            self.assertEqual(call.get(timeout=2).status, 503)
+            self.assertEqual(ticks_before, [0])
+
     def test_a_call_that_waited_unread_loses_that_time(self):
         """Guards against giving a call that is read after a stall its whole time again and answering it too late."""
         with Live() as live:
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -170,6 +170,19 @@
             self.on_timeout(heapq.heappop(self.timers)[2], now)
         return self.collect_steps(self.run_health_round, now)
 
+    def give_up_overdue(self, now: int) -> list[Step]:
+        """Gives up the activations whose deadline has passed, without any other decision that is due.
+
+        Their final answers depend on nothing that may still be unread after a stall of this process."""
+        return self.collect_steps(self.give_up_past_deadline, now)
+
+    def give_up_past_deadline(self, now: int) -> None:
+        """Gives up each activation whose deadline has passed, those due first before the others."""
+        overdue = [activation for _, _, activation in self.timers
+                   if activation.answer_due + self.deadline_margin < now and not activation.answer_started]
+        for activation in sorted(overdue, key=lambda each: each.answer_due):
+            self.give_up(activation, now)
+
     def shorten_deadlines(self, latest: int) -> None:
         """Makes every answer due by `latest`: this front end shuts down and can give no answer after that."""
         for _, _, activation in self.timers:
--- a/threadshift/engine/engine.py
+++ b/threadshift/engine/engine.py
@@ -170,6 +170,7 @@
         self.next_serial = count().__next__
         self.queued_steps: deque[Step] = deque()
         self.is_executing = False
+        self.postponed_steps: list[Step] = []   # until the next tick
         self.counts: Counter[str] = Counter()
         self.final_deadline: int | None = None  # when the last answer is due, once this front end shuts down
 
@@ -213,6 +214,8 @@
 
     def due(self) -> int:
         """When tick() has to be called next."""
+        if self.postponed_steps:
+            return self.now
         while self.deadlines and self.is_obsolete(self.deadlines[0][2]):
             heapq.heappop(self.deadlines)
         return min(self.dispatcher.due(), self.deadlines[0][0]) if self.deadlines else self.dispatcher.due()
@@ -220,6 +223,8 @@
     def tick(self, now: int) -> None:
         """Ends what has run out of time by now: the dispatcher's timers first, then the engine's own deadlines."""
         now = self.advance_clock(now)
+        steps, self.postponed_steps = self.postponed_steps, []
+        self.execute_steps(now, steps)
         self.execute_steps(now, self.dispatcher.tick(now))
         while self.deadlines and self.deadlines[0][0] <= now:
             _, _, item = heapq.heappop(self.deadlines)
@@ -230,6 +235,19 @@
             elif not item.is_done:
                 item.on_answered(now, Outcome.TIMEOUT)
 
+    def answer_overdue(self, now: int) -> None:
+        """Answers the requests whose deadline has passed, after a stall of this process.
+
+        Everything else that follows from their end waits for the next tick: it may lead to sends, before which
+        updates of workers that arrived during the stall must be read."""
+        now = self.advance_clock(now)
+        steps = self.dispatcher.give_up_overdue(now)
+        for step in steps:
+            pending = self.requests.get(step.activation.id) if step.activation else None
+            if step.action in (Action.REJECT, Action.ABORT) and pending and not pending.is_settled:
+                self.answer_client(pending, now, build_refusal(pending, step, now))
+        self.postponed_steps += steps
+
     def on_send_ended(self, pending: PendingRequest, now: int, number: int, outcome: Outcome, body: bytes = b"",
                       error: str = "", copy: Copy = Copy.UNKNOWN, report: Report | None = None,
                       waited: int | None = None) -> None:
--- a/threadshift/gateway/base_front_end.py
+++ b/threadshift/gateway/base_front_end.py
@@ -142,6 +142,7 @@
     def wait_after_stalls(self, now: int, late: int) -> int:
         """Waits after a stall, as timeouts may cause sends and updates that arrived meanwhile must be read before.
 
+        Overdue answers do not wait: on a busy machine, each wait may cost the process its core for long.
         Waits again where the process stalls in that wait. Returns the time afterwards."""
         for _ in range(MAX_STALLS_IN_SERIES):
             if late < STALL_THRESHOLD:
@@ -149,6 +150,7 @@
             self.stalls += 1
             self.longest_stall = max(self.longest_stall, late)
             self.note("stalled", level="warning", late_ms=late // MS, owed=self.engine.owed)
+            self.engine.answer_overdue(now)
             waits_until = now + CATCH_UP_TIME
             gevent.sleep(CATCH_UP_TIME / SECOND)
             now = time.monotonic_ns()
