The log line of a stall says whether the process computed

Change: `stalled` has cpu_ms, the processor time of its thread since the tick before, major_faults, and waited_ms, the time it waited for a core (schedstat), both since the last sample, a second before at most. 0.6 us a tick, 27 us a second.

Test: a stalled and a computing process are told apart (tests/test_gateway.py).

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -181,6 +181,19 @@
             until(lambda: live.front.longest_stall >= 100 * MS)
             self.assertGreaterEqual(max(each["late_ms"] for each in live.log.of("stalled")), 100)
 
+    def test_a_stall_tells_whether_the_process_computed(self):
+        """Guards against a stall of which nobody can say whether it is a fault of this program."""
+        with Live() as live:
+            block_process(0.2)
+            until(lambda: live.front.longest_stall >= 100 * MS)
+            stopped = max(live.log.of("stalled"), key=lambda each: each["late_ms"])
+            self.assertLess(stopped["cpu_ms"], 100)
+            until_cpu = time.thread_time_ns() + 200 * MS
+            while time.thread_time_ns() < until_cpu:
+                pass
+            until(lambda: any(each["cpu_ms"] >= 200 for each in live.log.of("stalled")))
+            self.assertLessEqual({"late_ms", "owed", "cpu_ms", "major_faults"}, set(live.log.of("stalled")[-1]))
+
     def test_a_stall_right_after_another_is_detected_too(self):
         """Guards against missing a stall in the wait that follows another one."""
         with Live() as live:
--- a/threadshift/gateway/base_front_end.py
+++ b/threadshift/gateway/base_front_end.py
@@ -15,6 +15,7 @@
 from threadshift.conf.values import Address
 from threadshift.discovery.registry import WorkerEntry, WorkerList, WorkerRegistry
 from threadshift.engine.engine import PendingRequest, PendingWorkerQuery, RequestEngine
+from threadshift.gateway.stall_diagnosis import StallDiagnosis
 from threadshift.interface import MS, SECOND, Outcome, WorkerListing, WorkerState
 from threadshift.invoke.admission import READING_INTERVAL, Admission
 from threadshift.invoke.poll_monitor import CATCH_UP_TIME, STALL_THRESHOLD, PollMonitor
@@ -55,6 +56,7 @@
         self.joining: dict[str, None] = {}      # workers listed as ready that are still to be added
         self.last_stall_at = 0                  # when a stall of the process was last detected
         self.stalls = self.longest_stall = 0
+        self.stall_diagnosis = StallDiagnosis()
         self.lag_read_at = self.gone_workers_checked_at = 0
         self.list_applied_at = 0
         self.is_discovery_lost = False          # the feed is lost or the file unreadable; the last list remains valid
@@ -137,6 +139,8 @@
             self.gone_workers_checked_at = now
             self.remove_gone_workers()
             self.log.tick(now)
+            self.stall_diagnosis.sample()
+        self.stall_diagnosis.on_tick_ended()
         return now
 
     def wait_after_stalls(self, now: int, late: int) -> int:
@@ -149,7 +153,8 @@
                 break
             self.stalls += 1
             self.longest_stall = max(self.longest_stall, late)
-            self.note("stalled", level="warning", late_ms=late // MS, owed=self.engine.owed)
+            self.note("stalled", level="warning", late_ms=late // MS, owed=self.engine.owed,
+                      **self.stall_diagnosis.as_fields())
             self.engine.answer_overdue(now)
             waits_until = now + CATCH_UP_TIME
             gevent.sleep(CATCH_UP_TIME / SECOND)
