--- a/threadshift/days/play.py
+++ b/threadshift/days/play.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import gevent
+from gevent.pool import Group
 
 from threadshift.conf.values import Address
 from threadshift.days.fault_scenario import FaultScenario
@@ -36,6 +37,7 @@
         (folder / "day.conf").write_text(text)
         self.record = Record(str(folder / "conductor.jsonl"))
         self.rig = Rig(folder)
+        self.listing = Group()      # greenlets that wait until a restarted worker listens
         self.zones = worker_zones(scenario)
         self.admin: dict[str, Address] = {}      # of front ends that announce
 
@@ -60,6 +62,7 @@
             end = start + self.scenario.length + 3 * longest + retries + CLIENTS_END_TIMEOUT * SECOND
             clients.process.wait(max(1, (end - time.monotonic_ns()) / SECOND))
             self.record.note("over")
+            self.listing.kill()
 
     # Starting.
 
@@ -177,7 +180,7 @@
             self.start_front(int(who.removeprefix("front-")))
         else:
             self.start_worker(who)
-            gevent.spawn(self.list_worker, who)
+            self.listing.spawn(self.list_worker, who)
 
     def drain(self, who: str) -> None:
         """Asks a process to drain and end (SIGTERM), as an operator does."""
