--- a/threadshift/standins/ports.py
+++ b/threadshift/standins/ports.py
@@ -34,7 +34,7 @@
     """Ports that nobody else draws until release(), although nothing may listen at them for a while.
 
     Each is held by a bound socket. As that does not listen and permits reuse of its address, a listener that asks for
-    reuse (as all of this program do) may be opened at the port, closed, and opened again."""
+    reuse, as all listeners of this program do, may be opened at the port, closed, and opened again."""
 
     def __init__(self) -> None:
         self.sockets: list[socket.socket] = []
