--- a/review/standins.py
+++ b/review/standins.py
@@ -274,10 +274,12 @@
 
 
 def free_address() -> str:
-    """A loopback address with a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """A loopback address with a port that is free now, below those that the system gives to outgoing connections."""
+    while True:
+        address = "127.0.0.1", random.randrange(16_384, 32_768)
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind(address)
+            return f"{address[0]}:{address[1]}"
 
 
 class FrontEnd:
