Half read requests of clients are bounded in all, and who holds most gives way

Cause: a request that is being read counted nowhere. Each connection is bounded (32 requests of 16 KiB) and the connections are (240 of 384 descriptors), their sum is not.

Change: a budget for what is held for clients, an eighth of the memory limit. Each connection records what it holds, with the overhead of a request, once a read. Over the limit those that hold most have their half read requests refused: nothing ran, so a retry is safe. Those that hold little are spared, however late they came. The state line in the log has held_kb and gave_way.

--- /dev/null
+++ b/tests/memory_floods.py
@@ -0,0 +1,189 @@
+"""A platform front end as a process under peers that make it hold bytes, its own memory, and usual clients meanwhile.
+
+Own memory is what the process holds without mapped files (RssAnon), as its limit counts it.
+"""
+import tempfile
+import threading
+import time
+from contextlib import suppress
+from pathlib import Path
+
+import gevent
+from gevent import socket
+
+from tests.live import Server, until
+from tests.platform import SETTINGS, Client, Coordinator, Worker, begin, event, instance, params, request, serve
+from tests.processes import FrontEndProcess
+from threadshift.fastcgi.codec import MAX_CONTENT, PARAMS, STDIN, record
+
+MEMORY_MB, SOCKETS = 80, 384       # as the platform gives a front end on a day with bad clients
+CLIENTS = 200                      # bad ones, each with a connection
+OPEN_REQUESTS = 32                 # on one connection, the protocol's limit
+BODY = bytes(16 << 10)             # the protocol's limit
+HELD_S = 1.5                       # until a bad client closes
+ROUNDS = 3                         # a third one shows what the allocator kept of the first two
+SAMPLE_INTERVAL_S = 0.005
+CLOSE_WAIT_S = 2.5                 # after a bad client has sent all, for an answer or a close
+USUAL_INTERVAL_S = 0.04            # between two requests of usual clients
+USUAL_CONNECTIONS = 3
+
+
+def parameters(id_, **more):
+    """The parameters of a request that the platform's clients send."""
+    return {"SCRIPT_NAME": "/ops/check", "HTTP_X_JOB_ID": f"{id_:016x}", "HTTP_X_ALLOW_MS": "900",
+            "HTTP_X_ITEM": "00000000000000f1", "HTTP_X_SIZE_MS": "8.2", "HTTP_X_SPEC": "memory_mb:512;lanes:2"} | more
+
+
+# What one bad client sends; `number` tells clients apart.
+
+def half_bodies(number):
+    """As many requests as a connection may carry, each whole but for the record that ends it."""
+    return b"".join(begin(each) + params(each, parameters(number << 8 | each)) + record(STDIN, each, BODY)
+                    for each in range(1, OPEN_REQUESTS + 1))
+
+
+def half_parameters(number):
+    """The same without the end of the parameters."""
+    return b"".join(begin(each) + record(PARAMS, each, bytes(16 << 10)) for each in range(1, OPEN_REQUESTS + 1))
+
+
+def small_halves(number):
+    """The same without a body: what is held is not what was sent."""
+    return b"".join(begin(each) + params(each, parameters(number << 8 | each, HTTP_X_TEAM="t" * 100))
+                    for each in range(1, OPEN_REQUESTS + 1))
+
+
+def torn_record(number):
+    """A record of the greatest length without its last byte."""
+    return begin() + record(STDIN, 1, bytes(MAX_CONTENT))[:-1]
+
+
+def whole_requests(number, left="1900"):
+    """As many whole requests with the longest body as a connection may carry."""
+    return b"".join(request(each, f"{0xbad << 32 | number << 8 | each:016x}", BODY, left=left)
+                    for each in range(1, OPEN_REQUESTS + 1))
+
+
+def unread_answers(number):
+    """Requests whose answers, longer than themselves, the client does not read."""
+    return b"".join(request(each % OPEN_REQUESTS + 1, f"{0xbad << 32 | number << 16 | each:016x}", b"x" * 8,
+                            left="1900", item="00000000000000f2") for each in range(4 * OPEN_REQUESTS))
+
+
+class BadClients:
+    """Clients that all send the same kind of input at once, hold their connection, and close."""
+
+    def __init__(self, address, payload, reads=True, clients=CLIENTS, held_s=HELD_S, receive_buffer=0):
+        self.address, self.payload, self.reads, self.held_s = address, payload, reads, held_s
+        self.receive_buffer = receive_buffer
+        self.greenlets = [gevent.spawn(self.run, number) for number in range(clients)]
+
+    def run(self, number):
+        with suppress(OSError), socket.socket() as sock:
+            if self.receive_buffer:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer)
+            sock.connect(tuple(self.address)[:2])
+            sock.settimeout(self.held_s)
+            with suppress(TimeoutError):
+                sock.sendall(self.payload(number))
+            until_ = time.monotonic() + self.held_s
+            while self.reads and (left := until_ - time.monotonic()) > 0:
+                sock.settimeout(left)
+                if not sock.recv(65536):
+                    return
+            gevent.sleep(max(0, until_ - time.monotonic()))
+
+    def join(self):
+        gevent.joinall(self.greenlets, timeout=30)
+
+
+class MemoryWatch:
+    """Samples the own memory of a process in a thread of its own; `peak_mb` is the most that was seen."""
+
+    def __init__(self, pid):
+        self.status, self.peak_mb, self.is_running = Path(f"/proc/{pid}/status"), 0.0, True
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def own_mb(self):
+        line = next(each for each in self.status.read_text().splitlines() if each.startswith("RssAnon:"))
+        return int(line.split()[1]) / 1024
+
+    def run(self):
+        with suppress(OSError, StopIteration):
+            while self.is_running:
+                self.peak_mb = max(self.peak_mb, self.own_mb())
+                time.sleep(SAMPLE_INTERVAL_S)
+
+    def stop(self):
+        self.is_running = False
+        self.thread.join()
+
+
+class UsualClients:
+    """Requests at an even pace over a few connections, and the statuses of their answers; 0: none in time."""
+
+    def __init__(self, address):
+        self.address, self.statuses, self.clients, self.serial = address, [], [], 0
+        self.greenlets = [gevent.spawn(self.run, number) for number in range(USUAL_CONNECTIONS)]
+
+    def run(self, number):
+        client = None
+        while True:
+            began = time.monotonic()
+            self.serial += 1
+            serial = self.serial
+            try:
+                if client is None:
+                    client = Client(self.address)
+                    self.clients.append(client)
+                client.ask(1, f"{serial:016x}", b"x" * 200, item=f"{0xf1000 + serial % 24:016x}")
+                answer = client.answer()
+            except OSError:
+                answer = None
+            if answer is None:
+                client = None
+            self.statuses.append(answer[0] if answer else 0)
+            gevent.sleep(max(0.0, began + USUAL_INTERVAL_S * USUAL_CONNECTIONS - time.monotonic()))
+
+    def stop(self):
+        gevent.killall(self.greenlets)
+        for client in self.clients:
+            client.close()
+
+    def served(self):
+        """The share of requests that were served."""
+        return self.statuses.count(200) / max(1, len(self.statuses))
+
+
+class MemoryRig:
+    """A front end process with its stand-ins as a context manager."""
+
+    def __init__(self, script=serve, workers=6, memory_mb=MEMORY_MB, sockets=SOCKETS, process=FrontEndProcess):
+        self.folder = tempfile.TemporaryDirectory()
+        self.workers = [Worker(script) for _ in range(workers)]
+        self.coordinator = Coordinator([event(1, *(
+            instance(f"s-{n}", worker.address) for n, worker in enumerate(self.workers)), full=True)])
+        self.front_end = process(
+            self.folder.name, "n0", coordinator=str(self.coordinator.address), settings=SETTINGS,
+            limits={"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets})
+
+    def __enter__(self):
+        client = self.front_end.client()
+        until(lambda: client.alive()[0] == 200, 10.0)
+        self.watch = MemoryWatch(self.front_end.process.pid)
+        self.usual = UsualClients(self.front_end.address)
+        return self
+
+    def __exit__(self, *_):
+        self.usual.stop()
+        self.watch.stop()
+        self.front_end.__exit__()
+        servers: list[Server] = [self.coordinator, *self.workers]
+        for server in servers:
+            server.stop()
+        self.folder.cleanup()
+
+    def flood(self, payload, **facts):
+        """Lets bad clients send, and waits until they are gone."""
+        BadClients(self.front_end.address, payload, **facts).join()
--- /dev/null
+++ b/tests/test_memory.py
@@ -0,0 +1,72 @@
+"""What peers make a process hold stays within its memory, however many of them there are, and others are served."""
+import unittest
+
+from tests.memory_floods import (
+    MEMORY_MB, ROUNDS, MemoryRig, half_bodies, half_parameters, small_halves)
+from threadshift.memory_budget import MemoryBudget
+
+LEAST_SERVED = 0.9      # of the requests of usual clients
+
+
+class Held:
+    """A holder of a number of bytes."""
+
+    def __init__(self, budget, held):
+        self.held = held
+        budget.record(self, held)
+
+    def held_bytes(self):
+        return self.held
+
+    def give_way(self):
+        self.held = 0
+
+
+class Budget(unittest.TestCase):
+    def test_whoever_holds_most_gives_way_and_not_who_came_last(self):
+        """Guards against a sum without a bound, and against a bound that shuts out those who come later."""
+        budget = MemoryBudget(100)
+        small, big, middle = Held(budget, 5), Held(budget, 60), Held(budget, 30)
+        last = Held(budget, 10)
+        self.assertEqual([each.held for each in (small, big, middle, last)], [5, 0, 30, 10])
+        self.assertEqual((budget.used, budget.evictions), (45, 1))
+
+    def test_what_was_released_without_a_report_lets_nobody_give_way(self):
+        budget = MemoryBudget(100)
+        written = Held(budget, 90)
+        written.held = 20
+        other = Held(budget, 30)
+        self.assertEqual((budget.used, written.held, other.held, budget.evictions), (50, 20, 30, 0))
+
+    def test_a_holder_that_releases_nothing_is_not_asked_for_ever(self):
+        budget = MemoryBudget(100)
+        stuck = Held(budget, 50)
+        stuck.give_way = lambda: None
+        stuck.held = 200
+        budget.record(stuck, stuck.held)
+        self.assertGreater(budget.evictions, 0)
+        budget.forget(stuck)
+        self.assertEqual(budget.used, 0)
+
+
+class PlatformMemory(unittest.TestCase):
+    def check(self, payloads, rounds=ROUNDS, **facts):
+        """Each round lets clients of each kind send, all at the same time where there are several kinds."""
+        with MemoryRig(**facts) as rig:
+            for number in range(rounds):
+                with self.subTest(round=number):
+                    for payload, more in payloads:
+                        rig.flood(payload, **more)
+                    self.assertLess(rig.watch.peak_mb, MEMORY_MB)
+            self.assertEqual(rig.usual.statuses.count(0), 0)
+            self.assertGreater(rig.usual.served(), LEAST_SERVED)
+
+    def test_half_sent_requests_of_many_clients_stay_within_the_memory(self):
+        """Guards against half read requests that are bounded for each connection and not in all (review/2)."""
+        for payload in (half_bodies, half_parameters, small_halves):
+            with self.subTest(payload=payload.__name__):
+                self.check([(payload, {})])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/threadshift/fastcgi/connection.py
+++ b/threadshift/fastcgi/connection.py
@@ -23,6 +23,7 @@
 from threadshift.invoke.refusal_counters import RefusalCounters
 from threadshift.links.checkpoint import Checkpoint
 from threadshift.links.sockets import BufferedSender, has_events
+from threadshift.memory_budget import MemoryBudget
 
 READ_SIZE = 16 << 10           # bytes a read: several usual requests, and little memory for each connection
 WRITE_TIMEOUT = 2 * SECOND     # without progress, until a client that reads no responses is disconnected
@@ -30,6 +31,7 @@
 MAX_OPEN_REQUESTS = 32         # on one connection; the protocol's limit
 MAX_DROPPED = 256 << 10        # bytes of records for requests that have ended, until the connection is closed
 MAX_LOGGED_IDS = 4             # of requests whose connection ended, in one line of the log
+REQUEST_OVERHEAD = 1_536       # bytes that a request being read takes besides its body and its parameters' values
 
 TOO_MANY_REQUESTS = requests.unavailable_response("too many requests on one connection", 0)
 
@@ -41,20 +43,24 @@
     max_connections: Callable[[], int]   # that clients may hold now
     note: Callable[..., None]
     read_turns: BoundedSemaphore         # of the connections whose input keeps coming
+    memory_budget: MemoryBudget
 
     def on_request(self, request: Request, received_since: int) -> None: ...
+    def refuse_half_read(self, request: Request) -> None: ...
 
 
 class Request:
     """One open request: it is read first and then pending in the engine."""
 
-    __slots__ = ("connection", "id", "keep_open", "began_at", "raw_parameters", "body", "parameters", "pending")
+    __slots__ = ("connection", "id", "keep_open", "began_at", "raw_parameters", "body", "parameters", "pending",
+                 "size")
 
     def __init__(self, connection: Connection, id_: int, keep_open: bool, began_at: int):
         self.connection, self.id, self.keep_open, self.began_at = connection, id_, keep_open, began_at
         self.raw_parameters, self.body = b"", b""
         self.parameters: dict[bytes, str] | None = None    # once they are complete
         self.pending: Any = None                           # None while it is read, True until it is admitted
+        self.size = REQUEST_OVERHEAD                       # bytes held while it is read
 
     def respond(self, content: bytes, status: int = codec.COMPLETE) -> None:
         """Sends the response and ends the request."""
@@ -70,6 +76,7 @@
         self.accepted = self.active = time.monotonic_ns()
         self.check_due = self.accepted + connection_eviction.FIRST_ANSWER_TIMEOUT
         self.open: dict[int, Request] = {}
+        self.records = Records()
         self.answered = self.closes_when_done = self.ended = False
         self.is_handling_input = False           # what is sent meanwhile is written together, once all is handled
         self.offences = self.dropped = 0
@@ -81,7 +88,6 @@
 
     def serve(self) -> None:
         """Reads until the end of the connection. Returns with the connection closed and its requests abandoned."""
-        records = Records()
         checkpoint = Checkpoint(turns=self.listener.read_turns, is_ready=self.has_unread_input)
         try:
             while not self.closes_when_done or self.open:
@@ -93,7 +99,7 @@
                 self.active = time.monotonic_ns()
                 self.age.on_read(began, is_empty=len(data) < READ_SIZE)
                 offences = self.offences
-                self.handle_input(records, data)
+                self.handle_input(data)
                 if self.offences > offences:
                     self.age.pause(self.sock, connection_eviction.read_pause(self.offences, bool(self.open)))
         except ProtocolError as problem:
@@ -106,6 +112,7 @@
             pass
         finally:
             self.abandon_all()
+            self.listener.memory_budget.forget(self)
             if self.writer is not None:
                 self.writer.join(WRITE_TIMEOUT / SECOND)
             self.sock.close()
@@ -114,18 +121,28 @@
         """Whether input, or the end of the connection, is unread."""
         return has_events(self.sock, select.POLLIN)
 
-    def handle_input(self, records: Records, data: bytes) -> None:
+    def handle_input(self, data: bytes) -> None:
         """Handles the records that these bytes complete. Raises ProtocolError.
 
         The answers to them leave in one write: hundreds of small writes to a client that does not read take long."""
         self.is_handling_input = True
         try:
-            for kind, id_, content in records.feed(data):
+            for kind, id_, content in self.records.feed(data):
                 self.on_record(kind, id_, content)
         finally:
             self.is_handling_input = False
             if self.outbox.size:
                 self.write()
+            self.listener.memory_budget.record(self, self.held_bytes())
+
+    def held_bytes(self) -> int:
+        """What is held for this client: requests that are being read."""
+        return sum(each.size for each in self.open.values() if each.pending is None)
+
+    def give_way(self) -> None:
+        """Refuses the requests that are being read: nothing of them ran, so the client may safely retry them."""
+        for request in [each for each in self.open.values() if each.pending is None]:
+            self.listener.refuse_half_read(request)
 
     def abandon_all(self) -> None:
         """Ends all open requests without a response: the client is gone, or is about to be disconnected."""
@@ -195,6 +212,7 @@
             raise ProtocolError("parameters follow their end")
         if content:
             request.raw_parameters += content
+            request.size += len(content)
             if len(request.raw_parameters) > MAX_PARAMS:
                 raise InvalidRequest(413, f"parameters exceed {MAX_PARAMS} bytes")
             return
@@ -208,6 +226,7 @@
             raise ProtocolError("a body follows its end")
         if content:
             request.body += content
+            request.size += len(content)
             if len(request.body) > MAX_BODY:
                 raise InvalidRequest(413, f"the body exceeds {MAX_BODY} bytes")
             return
--- a/threadshift/fastcgi/listener.py
+++ b/threadshift/fastcgi/listener.py
@@ -28,6 +28,7 @@
 from threadshift.invoke.refusal_counters import RefusalCounters
 from threadshift.links.sockets import BACKLOG, accept_connections, has_events
 from threadshift.log import exception_fields
+from threadshift.memory_budget import MemoryBudget
 
 LIMIT_CHECK_INTERVAL = 100 * MS    # between two checks of the connections' time limits, which are seconds
 CLOSE_POLL_INTERVAL = 2 * MS       # between two checks whether connections are closed
@@ -37,7 +38,7 @@
 
 # Reasons of refusals.
 CLOSING, LATE, FULL, OVERLOADED, FAULT = "closing", "too-late", "too-many-activations", "overloaded", "fault"
-TOO_MANY_CONNECTIONS = "too-many-connections"
+TOO_MANY_CONNECTIONS, MEMORY_SHORT = "too-many-connections", "memory-short"
 
 
 def describe_sends(pending: PendingRequest) -> list[str]:
@@ -52,10 +53,11 @@
 
     def __init__(self, max_connections: Callable[[], int], max_activations: int, types: dict[str, NamespaceType],
                  max_retry_after: int, admission: Admission, front_end: FrontEnd, note: Callable[..., None],
-                 chance: Callable[[], float]):
+                 chance: Callable[[], float], memory_budget: MemoryBudget):
         self.max_connections, self.max_activations, self.types, self.max_retry_after = (
             max_connections, max_activations, types, max_retry_after)
         self.admission, self.front_end, self.note, self.chance = admission, front_end, note, chance
+        self.memory_budget = memory_budget
         self.poll_monitor, self.refusal_counters = PollMonitor(), RefusalCounters()
         self.connections: set[Connection] = set()
         self.greenlets = Group()
@@ -202,6 +204,10 @@
         request.pending = True
         request.respond(self.unavailable(reason))
 
+    def refuse_half_read(self, request: Request) -> None:
+        """Refuses a request that is still being read, as the memory for what clients send is short."""
+        self.refuse(request, MEMORY_SHORT)
+
     def unavailable(self, reason: str) -> bytes:
         """Returns a refusal whose retry advice is a random time between half the maximum and the maximum."""
         return requests.unavailable_response(reason, int(self.max_retry_after * (1 - self.chance() / 2)))
--- a/threadshift/node/front.py
+++ b/threadshift/node/front.py
@@ -28,6 +28,7 @@
 from threadshift.invoke.admission import Admission
 from threadshift.links.sockets import listener
 from threadshift.log import Log
+from threadshift.memory_budget import MemoryBudget
 from threadshift.node import front_end_config
 from threadshift.node.descriptors import Descriptors
 from threadshift.node.shutdown import Shutdown, Stage
@@ -61,7 +62,8 @@
         self.descriptors = Descriptors(config.max_sockets)
         self.listener = FastCgiListener(
             lambda: self.descriptors.client_limit(self.worker_connections), config.max_activations, types,
-            config.deployment.max_retry_after, self.admission, self, self.note, self.chance)
+            config.deployment.max_retry_after, self.admission, self, self.note, self.chance,
+            MemoryBudget(config.client_bytes))
         self.poll_monitor = self.listener.poll_monitor
         dispatcher = Dispatcher(rng.getrandbits(63), config.deployment, now)
         previous_process.count_free_orders_as_given(dispatcher, config.deployment, now)
@@ -246,6 +248,7 @@
         workers = dispatcher.workers.values()
         return {"owed": self.engine.owed, "held": len(self.engine.requests),
                 "connections": len(self.listener.connections),
+                "held_kb": self.listener.memory_budget.used >> 10, "gave_way": self.listener.memory_budget.evictions,
                 "flying": len(dispatcher.in_flight), "links": len(self.links),
                 "up": sum(link.up for link in self.open_connections),
                 "worker_connections": self.worker_connections, "dialled_in_all": self.total_dials,
--- a/threadshift/node/front_end_config.py
+++ b/threadshift/node/front_end_config.py
@@ -21,6 +21,7 @@
 MIN_TICK = 3 * MS // 2         # calls are given up two ticks before their time ends, for answers to leave in time
 WRITE_TIMEOUT = SECOND         # without progress, until a worker that reads nothing is disconnected
 CALLS_DIVISOR = 6              # this fraction of the memory is for the bodies of pending calls, two copies of each
+CLIENTS_DIVISOR = 8            # this fraction of the memory is for what clients have sent in part or have not read
 BUFFER_DIVISOR = 1_024         # this fraction of the memory is for unsent bytes of one connection to a worker
 BODY_DIVISOR = 64              # this fraction of the memory is for the longest answer
 MIN_ACTIVATIONS = 16
@@ -45,6 +46,11 @@
     max_sockets: int
     memory_bytes: int
 
+    @property
+    def client_bytes(self) -> int:
+        """The most that is held for clients in all, besides the bodies of pending calls."""
+        return self.memory_bytes // CLIENTS_DIVISOR
+
     def link_settings(self, workers: int) -> LinkSettings:
         """Returns the settings of the link to each of so many workers."""
         return LinkSettings(self.connect_timeout, WRITE_TIMEOUT, self.idle_timeout, self.streams_per_connection,
