Bodies of requests that have ended are dropped instead of held until their deadline

Callers saw: 200 clients that send 32 whole requests of 16 KiB to workers that leave them unanswered take a front end of 80 MB to 84 to 114 MB of own memory, though it never has over 426 calls under way.

Cause: the heaps of deadlines refer to a request, with its body and its answer, until its time is up, up to twice the action timeout. A request that was rejected at once counts nowhere any more and is held all the same.

Evidence: a probe in the process during the flood: 18 requests in the engine with 0.3 MB of bodies, 2,823 entries in the heap with 44.1 MB of bodies, nothing half read, nothing unsent.

Change: the engine drops the body of a request and of its answer once its client needs no answer and what was not sent is withdrawn. The same for the daemon, which drives the same engine.

--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -106,6 +106,17 @@
             pending.on_send_ended(400 * MS, 0, Outcome.COMPLETED)
             self.assertEqual(len(fleet.answers["a"]), 1)
 
+    def test_bodies_are_not_held_until_the_deadline_of_a_request_that_has_ended(self):
+        """Guards against bodies of answered requests that the heap of deadlines holds, uncounted, for seconds."""
+        for outcomes in ([], [Outcome.UNREACHABLE] * 4):
+            it, fleet = make_engine(immediate_outcomes=outcomes)
+            pending = it.admit(0, "a", make_call(body=b"sent"))
+            if not outcomes:
+                pending.on_send_ended(10 * MS, 0, Outcome.COMPLETED, body=b"received")
+            self.assertEqual(len(fleet.answers["a"]), 1)
+            held = [each for _, _, each in it.deadlines if each is pending]
+            self.assertEqual([(each.call.body, each.answer.body) for each in held], [(b"", b"")])
+
     def test_an_answer_that_is_read_after_a_stall_is_too_late(self):
         it, fleet = make_engine()
         pending = it.admit(0, "a", make_call(left=300 * MS))
--- a/threadshift/engine/engine.py
+++ b/threadshift/engine/engine.py
@@ -373,6 +373,8 @@
         # This does not depend on whether cancels are allowed: the client is answered, or gone.
         for number in range(len(pending.sends) if pending.is_settled else 0):
             self.withdraw_send(pending, number, self.now)
+        if pending.is_settled:
+            self.drop_bodies(pending)
         if pending.is_settled and pending.activation.is_finished and pending.id in self.requests:
             del self.requests[pending.id]
             self.clients.on_finished(pending)
@@ -382,6 +384,15 @@
             pending.activation.sends.clear()
             pending.activation.possible_runs.clear()
 
+    @staticmethod
+    def drop_bodies(pending: PendingRequest) -> None:
+        """Drops what was received for a request that needs no answer any more, and of which nothing is left to send.
+
+        The heaps refer to it until its deadline has come, and its last send may go on as long."""
+        pending.call = pending.call._replace(body=b"")
+        if pending.answer is not None:
+            pending.answer = pending.answer._replace(body=b"")
+
     def advance_clock(self, now: int) -> int:
         """The time that counts as now; it never goes back."""
         self.now = max(self.now, now)
