Unread responses and half read records of clients count in the sum of what is held for them

An outbox is bounded for each connection, a MB, by its bytes alone, and 240 connections may each have one. A response of 16 bytes takes 170 of memory, as each is an entry of a list. A record of 64 KiB without its last byte, 200 times, takes 13 MB.

Change: a connection counts the record that it is reading and the memory of its outbox (with 160 bytes an entry) as held, and a request that is read counts 2 KiB of overhead. A connection that holds most and has no half read request is closed, and what it held is freed at once. What a reader that has ended leaves to its writer still counts.

--- a/threadshift/fastcgi/connection.py
+++ b/threadshift/fastcgi/connection.py
@@ -31,7 +31,7 @@
 MAX_OPEN_REQUESTS = 32         # on one connection; the protocol's limit
 MAX_DROPPED = 256 << 10        # bytes of records for requests that have ended, until the connection is closed
 MAX_LOGGED_IDS = 4             # of requests whose connection ended, in one line of the log
-REQUEST_OVERHEAD = 1_536       # bytes that a request being read takes besides its body and its parameters' values
+REQUEST_OVERHEAD = 2_048       # bytes that a request being read takes besides its body and its parameters' values
 
 TOO_MANY_REQUESTS = requests.unavailable_response("too many requests on one connection", 0)
 
@@ -112,9 +112,9 @@
             pass
         finally:
             self.abandon_all()
-            self.listener.memory_budget.forget(self)
             if self.writer is not None:
                 self.writer.join(WRITE_TIMEOUT / SECOND)
+            self.listener.memory_budget.forget(self)
             self.sock.close()
 
     def has_unread_input(self) -> bool:
@@ -133,16 +133,34 @@
             self.is_handling_input = False
             if self.outbox.size:
                 self.write()
-            self.listener.memory_budget.record(self, self.held_bytes())
+            self.record_memory()
+
+    def record_memory(self) -> None:
+        """Records what is held for this client. May close this connection, or others."""
+        self.listener.memory_budget.record(self, self.held_bytes())
 
     def held_bytes(self) -> int:
-        """What is held for this client: requests that are being read."""
-        return sum(each.size for each in self.open.values() if each.pending is None)
+        """What is held for this client: requests and a record that are being read, and unread responses."""
+        return (sum(each.size for each in self.half_read) + len(self.records.buffer) + self.outbox.held_bytes()
+                if not self.ended else 0)
+
+    @property
+    def half_read(self) -> list[Request]:
+        """The requests that are being read."""
+        return [each for each in self.open.values() if each.pending is None]
 
     def give_way(self) -> None:
-        """Refuses the requests that are being read: nothing of them ran, so the client may safely retry them."""
-        for request in [each for each in self.open.values() if each.pending is None]:
-            self.listener.refuse_half_read(request)
+        """Refuses the requests that are being read: nothing of them ran, so the client may safely retry them.
+
+        A connection that holds most without any is closed: its client reads too little, or sends no request."""
+        if half_read := self.half_read:
+            for request in half_read:
+                self.listener.refuse_half_read(request)
+            return
+        self.ended = True
+        self.outbox.clear()
+        self.records = Records()
+        self.shut()
 
     def abandon_all(self) -> None:
         """Ends all open requests without a response: the client is gone, or is about to be disconnected."""
@@ -254,11 +272,14 @@
 
     def send(self, data: bytes) -> None:
         """Sends as much as the socket takes and buffers the rest; disconnects a client that reads too little."""
-        if self.outbox.put(None, data):
-            if not self.is_handling_input:
-                self.write()
-        else:
+        if self.ended:
+            return
+        if not self.outbox.put(None, data):
             self.shut()
+        elif not self.is_handling_input:
+            self.write()
+            if self.outbox.size:
+                self.record_memory()
 
     def written(self) -> None:
         if self.closes_when_done and not self.open:
@@ -277,7 +298,7 @@
     def check_limits(self, now: int) -> None:
         """Ends what is overdue and sets when the next check is due; called when a limit may have passed."""
         self.check_due = now + connection_eviction.FIRST_ANSWER_TIMEOUT
-        for request in [each for each in self.open.values() if each.pending is None]:
+        for request in self.half_read:
             if now - request.began_at >= connection_eviction.REQUEST_READ_TIMEOUT:
                 self.refuse_invalid(request, InvalidRequest(400, "the request did not end in time"))
             else:
--- a/threadshift/links/outbox.py
+++ b/threadshift/links/outbox.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 CHUNK_SIZE = 64 << 10      # bytes offered to the operating system at a time; more gains nothing on a socket
+FRAME_OVERHEAD = 160       # bytes of memory that a queued frame takes beside its own
 
 
 class Outbox:
@@ -32,6 +33,10 @@
             self.unwritten[key] = entry
         return True
 
+    def held_bytes(self) -> int:
+        """The memory that the queued frames take. Of many small ones it is several times their size."""
+        return self.size + FRAME_OVERHEAD * len(self.queue)
+
     def withdraw(self, key: Any) -> bool:
         """Removes a frame of which no byte is written; False where that is too late."""
         entry = self.unwritten.pop(key, None)
