What a reader has handled is not held until more arrives

Cause: the loops that read are greenlets which wait in recv() with their local variables: the last answers of each connection to a worker, up to a 64th of the memory each, and the last 16 KiB of each client.

Change: one read and its handling are a method of their own, whose references end with it.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,13 +1,14 @@
 """What peers make a process hold stays within its memory, however many of them there are, and others are served."""
+import gc
 import tracemalloc
 import unittest
 from types import SimpleNamespace
 
 from tests.memory_floods import (
-    MEMORY_MB, READS_LITTLE, ROUNDS, MemoryRig, answer_long, answer_small,
+    BODY, LONG_ANSWER, LONG_ANSWERS, MEMORY_MB, READS_LITTLE, ROUNDS, MemoryRig, answer_long, answer_small,
     half_bodies, half_parameters, requests_for_long_answers, small_halves, torn_record, unknown_records,
     whole_requests)
-from tests.platform import serve
+from tests.platform import Platform, serve
 from threadshift.fastcgi.connection import READ_SIZE, Connection
 from threadshift.memory_budget import MemoryBudget
 
@@ -104,6 +105,21 @@
         """Guards against long records without an end, each of which waits for its last byte."""
         self.check([(torn_record, {})])
 
+    def test_nothing_that_was_handled_is_held_until_more_arrives(self):
+        """Guards against the last answer on each connection to a worker that is held until the next one."""
+        with Platform(scripts=(answer_long,) * 4) as platform:
+            self.assertEqual(platform.call(id_="0" * 16)[0], 200)
+            tracemalloc.start()
+            self.addCleanup(tracemalloc.stop)
+            before = tracemalloc.get_traced_memory()[0]
+            for number in range(8):
+                client = platform.client()
+                client.ask(id_=f"{number:016x}", item=LONG_ANSWERS, body=BODY)
+                self.assertEqual(len(client.answer()[2]), LONG_ANSWER)
+            del client
+            gc.collect()
+            self.assertLess(tracemalloc.get_traced_memory()[0] - before, LONG_ANSWER)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/threadshift/fastcgi/connection.py
+++ b/threadshift/fastcgi/connection.py
@@ -92,16 +92,8 @@
         try:
             while not self.closes_when_done or self.open:
                 checkpoint.wait()
-                began = time.monotonic_ns()
-                data = self.sock.recv(READ_SIZE)
-                if not data or self.ended:
+                if not self.read():
                     return
-                self.active = time.monotonic_ns()
-                self.age.on_read(began, is_empty=len(data) < READ_SIZE)
-                offences = self.offences
-                self.handle_input(data)
-                if self.offences > offences:
-                    self.age.pause(self.sock, connection_eviction.read_pause(self.offences, bool(self.open)))
         except ProtocolError as problem:
             self.listener.refusal_counters.record(time.monotonic_ns(), "unreadable")
             self.listener.note("unreadable", level="debug", problem=str(problem))
@@ -117,6 +109,23 @@
             self.listener.memory_budget.forget(self)
             self.sock.close()
 
+    def read(self) -> bool:
+        """Reads once and handles what was read; False at the end of the connection. Raises ProtocolError.
+
+        What was read is referred to in here alone: serve() would hold it until something else arrives."""
+        began = time.monotonic_ns()
+        data = self.sock.recv(READ_SIZE)
+        if not data or self.ended:
+            return False
+        self.active = time.monotonic_ns()
+        self.age.on_read(began, is_empty=len(data) < READ_SIZE)
+        offences = self.offences
+        self.handle_input(data)
+        del data
+        if self.offences > offences:
+            self.age.pause(self.sock, connection_eviction.read_pause(self.offences, bool(self.open)))
+        return True
+
     def has_unread_input(self) -> bool:
         """Whether input, or the end of the connection, is unread."""
         return has_events(self.sock, select.POLLIN)
--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -345,23 +345,13 @@
 
     def read(self, connection: Connection) -> None:
         """Reads answers from one connection until it ends."""
-        decoder, problem, answers = FrameDecoder(self.settings.max_body), "", []
-        sock, checkpoint = connection.sock, Checkpoint()
+        decoder, problem = FrameDecoder(self.settings.max_body), ""
+        checkpoint = Checkpoint()
         try:
-            while not problem:
+            while True:
                 checkpoint.wait()
-                try:
-                    data = sock.recv(READ_SIZE)
-                    if not data:
-                        break
-                    connection.last_received_at = time.monotonic_ns()
-                    answers = decoder.feed(data)
-                except ProtocolError as refused:
-                    problem, answers = str(refused), getattr(refused, "before", [])
-                if answers:
-                    self.owner.catch_up_after_stall()
-                for answer in answers:
-                    self.handle_frame(connection, answer)
+                if not self.read_answers(connection, decoder):
+                    break
         except (OSError, ProtocolError) as failed:
             problem = str(failed) or type(failed).__name__
         except Exception as fault:          # a bug of this program is logged, and what waits here is ended below
@@ -372,6 +362,29 @@
             self.owner.catch_up_after_stall()
         self.on_connection_lost(connection, problem or ("closed inside a frame" if decoder.is_mid_frame else ""))
 
+    def read_answers(self, connection: Connection, decoder: FrameDecoder) -> bool:
+        """Reads once and handles the answers; False at the end. Raises ProtocolError after the answers ahead of it.
+
+        What was read is referred to in here alone: read() would hold the last answers until more arrives."""
+        data = connection.sock.recv(READ_SIZE)
+        if not data:
+            return False
+        connection.last_received_at = time.monotonic_ns()
+        try:
+            answers = decoder.feed(data)
+        except ProtocolError as refused:
+            self.handle_frames(connection, getattr(refused, "before", []))
+            raise
+        self.handle_frames(connection, answers)
+        return True
+
+    def handle_frames(self, connection: Connection, frames: list[Frame]) -> None:
+        """Passes answers that were read together on, once everything that is to be known before has been read."""
+        if frames:
+            self.owner.catch_up_after_stall()
+        for frame in frames:
+            self.handle_frame(connection, frame)
+
     def handle_frame(self, connection: Connection, frame: Frame) -> None:
         """Passes one answer to the send or query that waits for it; drops an answer that nothing waits for."""
         receiver = connection.in_flight.get(frame.id)
