Discovery: the size of an event counts its lines, and one of too many values is not decoded

Callers saw (by these tests; no case): a coordinator that sends "data:" lines without end fills a front end without bound, as none of them adds to the size of the event; an event of 3.8 MB, within its limit of 4 MB, takes 85 MB to decode, where a front end has 80.

Cause: the bound on an event counts bytes of values only; a list without a value takes 56 bytes of memory for three of text.

The stream, too, no longer refers to what it has handled while it waits.

Both tests failed before.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -9,6 +9,7 @@
     half_bodies, half_parameters, requests_for_long_answers, small_halves, torn_record, unknown_records,
     whole_requests)
 from tests.platform import Platform, serve
+from threadshift.coordinator.events import MAX_EVENT_SIZE, EventParser, EventSequence, InvalidEvent
 from threadshift.fastcgi.connection import READ_SIZE, Connection
 from threadshift.memory_budget import MemoryBudget
 
@@ -56,6 +57,34 @@
         self.assertEqual(budget.used, 0)
 
 
+class HeldForDiscovery(unittest.TestCase):
+    def peak_of(self, stream):
+        """The most memory that reading this stream of events takes, and what was invalid in it."""
+        parser, sequence, problem = EventParser(), EventSequence(), None
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        try:
+            for part in stream:
+                for each in parser.feed(part):
+                    sequence.accept(each.id, each.data)
+        except InvalidEvent as invalid:
+            problem = str(invalid)
+        return tracemalloc.get_traced_memory()[1], problem
+
+    def test_an_event_of_data_lines_without_end_is_refused(self):
+        """Guards against empty lines of data, of which none adds to the size of an event."""
+        peak, problem = self.peak_of(b"data:\n" * 2048 for _ in range(1000))
+        self.assertRegex(problem, "an event is over")
+        self.assertLess(peak, MEMORY_MB << 20 >> 3)
+
+    def test_an_event_of_many_small_values_is_refused_before_it_is_decoded(self):
+        """Guards against text within the limit of an event that takes more memory than the process has."""
+        event_ = b'id: 1\ndata: {"endpoints": {"x": [' + b"[]," * (MAX_EVENT_SIZE // 4) + b"0]}}\n\n"
+        peak, problem = self.peak_of(event_[at:at + READ_SIZE] for at in range(0, len(event_), READ_SIZE))
+        self.assertRegex(problem, "has over .* values")
+        self.assertLess(peak, MEMORY_MB << 20 >> 2)
+
+
 class HeldByClients(unittest.TestCase):
     def test_what_a_connection_counts_is_at_least_what_it_takes(self):
         """Guards against overheads that count nowhere, which for small records are several times their size."""
--- a/threadshift/coordinator/events.py
+++ b/threadshift/coordinator/events.py
@@ -18,6 +18,8 @@
 from threadshift.discovery.registry import MAX_WORKERS, WorkerEntry, WorkerList
 
 MAX_EVENT_SIZE = 4 << 20   # bytes; a list of MAX_WORKERS takes half of it
+LINE_OVERHEAD = 16         # bytes that each data line of an event counts beside its own
+MAX_VALUES = 16 * MAX_WORKERS      # in one event: the shortest take thirty times as much memory as text
 MAX_ID_LENGTH = 256        # characters of a worker's id
 STATES_BY_LIFECYCLE = {"Ready": WorkerState.READY, "Terminating": WorkerState.DRAINING, "Gone": WorkerState.GONE}
 MAX_INTEGER = 1 << 53      # of cells and of start times in ms; a later start is not a valid time
@@ -50,18 +52,19 @@
         self.size = 0                      # bytes in them
         self.id = ""
         self.data: list[str] = []
+        self.data_size = 0                 # bytes in it, with an overhead for each line
 
     def feed(self, data: bytes) -> list[ServerSentEvent]:
         """Returns the events that data completes. Raises InvalidEvent."""
         lines = self.complete_lines(data)
-        if self.size > MAX_EVENT_SIZE or sum(map(len, self.data)) > MAX_EVENT_SIZE:
+        if self.size > MAX_EVENT_SIZE or self.data_size > MAX_EVENT_SIZE:
             raise InvalidEvent(f"an event is over {MAX_EVENT_SIZE} bytes")
         found = []
         for line in lines:
             if not line:
                 if self.data:
                     found.append(ServerSentEvent(self.id, "\n".join(self.data)))
-                self.data = []
+                self.data, self.data_size = [], 0
                 continue
             name, _, value = line.decode("utf-8", "replace").partition(":")
             value = value.removeprefix(" ")
@@ -69,6 +72,7 @@
                 self.id = value
             elif name == "data":
                 self.data.append(value)
+                self.data_size += len(value) + LINE_OVERHEAD
         return found
 
     def complete_lines(self, data: bytes) -> list[bytes]:
@@ -190,6 +194,9 @@
         if index is not None and index <= self.last:
             return None
         if isinstance(data, str):
+            if count_values(data) > MAX_VALUES:
+                self.last = index or self.last
+                raise InvalidEvent(f"event {id_[:20]!r} has over {MAX_VALUES} values")
             try:
                 data = json.loads(data)
             except (ValueError, RecursionError):
@@ -229,6 +236,11 @@
                 yield update
 
 
+def count_values(data: str) -> int:
+    """The most values that this JSON text can have: all but the first of a list or an object follow a comma."""
+    return data.count(",") + data.count("[") + data.count("{")
+
+
 def is_full(event: Any) -> bool:
     """Whether the data of an event carries the whole list."""
     endpoints = event.get("endpoints") if isinstance(event, dict) else None
--- a/threadshift/coordinator/stream.py
+++ b/threadshift/coordinator/stream.py
@@ -164,23 +164,31 @@
         parser, checkpoint = EventParser(), Checkpoint()
         while not response.message_complete:
             checkpoint.wait()
-            data = sock.recv(READ_SIZE)
-            if not data:
+            if not self.read_events(sock, response, parser):
                 return
-            body = response.feed(data)
-            if response.headers_complete:
-                self.freshness.on_bytes(time.monotonic_ns())
-            if body:
-                self.freshness.on_body()
-            events = parser.feed(body)
-            if events:
-                self.backoff.on_connected(time.monotonic_ns())
-            for event in self.unapplied.counted_down(events):
-                self.apply(event.id, event.data)
-            self.unapplied.on_applied()
-            if response.headers_complete:
-                sock.settimeout(self.freshness.silence_timeout() / SECOND)
-                self.catch_up(sock)
+
+    def read_events(self, sock: socket.socket, response: Response, parser: EventParser) -> bool:
+        """Reads once and applies the events; False at the end of the connection. Raises as read().
+
+        What was read is referred to in here alone: read() would hold the last list until more arrives."""
+        data = sock.recv(READ_SIZE)
+        if not data:
+            return False
+        body = response.feed(data)
+        if response.headers_complete:
+            self.freshness.on_bytes(time.monotonic_ns())
+        if body:
+            self.freshness.on_body()
+        events = parser.feed(body)
+        if events:
+            self.backoff.on_connected(time.monotonic_ns())
+        for event in self.unapplied.counted_down(events):
+            self.apply(event.id, event.data)
+        self.unapplied.on_applied()
+        if response.headers_complete:
+            sock.settimeout(self.freshness.silence_timeout() / SECOND)
+            self.catch_up(sock)
+        return True
 
     def catch_up(self, sock: socket.socket) -> None:
         """Records that the list is current once the missed events, which are written right behind the head, have been
