Platform: answers that workers have sent in part are bounded in all

Callers saw: 66 workers that leave out the last byte of long answers take a front end of 80 MB to 108 MB of own memory.

Cause: the same as for half read requests, on connections to workers: an answer in part is bounded for each connection, a 64th of the memory, and a quarter of the descriptors may be connections to workers (96 of 384: 120 MB).

Change: a budget of a twelfth of the memory for what workers have sent in part, apart from that of clients, so that clients cannot push out a worker, nor the other way round. The connection that holds most is ended as by a break; what was in flight on it ends as after any break. The state line has worker_kb and workers_gave_way.

--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -25,6 +25,7 @@
 from threadshift.links.redial import ReconnectBackoff
 from threadshift.links.sockets import READ_SIZE, BufferedSender, connect, has_events, time_since_poll
 from threadshift.log import exception_fields
+from threadshift.memory_budget import MemoryBudget
 
 MAX_USED_IDS = 128         # ids remembered for each connection, on which they may not be sent again
 
@@ -67,6 +68,8 @@
     def connection_opened(self, link: Link) -> None: ...
     def connection_closed(self, link: Link) -> None: ...
     def note(self, event: str, **fields: Any) -> None: ...
+    @property
+    def worker_budget(self) -> MemoryBudget: ...     # for answers of all workers that are received in part
 
 
 def invoke_frame(id_: bytes, call: Any, left: int) -> bytes:
@@ -93,6 +96,8 @@
     def __init__(self, sock: socket.socket, settings: LinkSettings, owner: LinkOwner):
         super().__init__(sock, settings.max_buffered, settings.write_timeout)
         self.owner = owner
+        self.decoder = FrameDecoder(settings.max_body)
+        self.gave_way = False                   # it was closed as it held the most of the memory for answers
         self.in_flight: dict[bytes, Any] = {}   # (pending, number) of a send, or a PendingWorkerQuery
         self.used_ids: dict[bytes, None] = {}
         self.has_answered = self.suspected = False
@@ -102,6 +107,16 @@
     def may_write(self) -> bool:
         return not self.owner.has_unread_update()
 
+    def held_bytes(self) -> int:
+        """What is held of an answer that has not arrived whole."""
+        return len(self.decoder.buffer)
+
+    def give_way(self) -> None:
+        """Drops what is held. Its reader then ends the connection."""
+        self.gave_way = True
+        self.decoder.buffer = b""
+        self.shut()
+
     def refresh(self) -> None:
         """Updates the time left in the requests that are not written yet, and holds back those without any."""
         now = time.monotonic_ns()
@@ -345,12 +360,11 @@
 
     def read(self, connection: Connection) -> None:
         """Reads answers from one connection until it ends."""
-        decoder, problem = FrameDecoder(self.settings.max_body), ""
-        checkpoint = Checkpoint()
+        problem, checkpoint = "", Checkpoint()
         try:
             while True:
                 checkpoint.wait()
-                if not self.read_answers(connection, decoder):
+                if not self.read_answers(connection):
                     break
         except (OSError, ProtocolError) as failed:
             problem = str(failed) or type(failed).__name__
@@ -360,22 +374,27 @@
         connection.suspected = True         # so that it carries nothing new while catch_up_after_stall() waits
         if connection.in_flight:
             self.owner.catch_up_after_stall()
-        self.on_connection_lost(connection, problem or ("closed inside a frame" if decoder.is_mid_frame else ""))
+        if not problem and connection.decoder.is_mid_frame:
+            problem = "closed inside a frame"
+        self.on_connection_lost(connection, problem)
 
-    def read_answers(self, connection: Connection, decoder: FrameDecoder) -> bool:
+    def read_answers(self, connection: Connection) -> bool:
         """Reads once and handles the answers; False at the end. Raises ProtocolError after the answers ahead of it.
 
         What was read is referred to in here alone: read() would hold the last answers until more arrives."""
         data = connection.sock.recv(READ_SIZE)
+        if connection.gave_way:
+            raise ConnectionAbortedError("answers that have arrived in part hold too much memory")
         if not data:
             return False
         connection.last_received_at = time.monotonic_ns()
         try:
-            answers = decoder.feed(data)
+            answers = connection.decoder.feed(data)
         except ProtocolError as refused:
             self.handle_frames(connection, getattr(refused, "before", []))
             raise
         self.handle_frames(connection, answers)
+        self.owner.worker_budget.record(connection, connection.held_bytes())
         return True
 
     def handle_frames(self, connection: Connection, frames: list[Frame]) -> None:
@@ -450,6 +469,7 @@
         if connection.reader is not None and connection.reader is not gevent.getcurrent():
             connection.reader.kill(block=False)
         connection.sock.close()
+        self.owner.worker_budget.forget(connection)
         connection.in_flight, connection.used_ids = {}, {}
         connection.outbox.clear()
 
--- a/threadshift/gateway/base_front_end.py
+++ b/threadshift/gateway/base_front_end.py
@@ -20,6 +20,7 @@
 from threadshift.invoke.admission import READING_INTERVAL, Admission
 from threadshift.invoke.poll_monitor import CATCH_UP_TIME, STALL_THRESHOLD, PollMonitor
 from threadshift.log import Log
+from threadshift.memory_budget import MemoryBudget
 
 JOIN_BATCH = 32            # new workers added at a time: some ms of work, also on a part of a core
 UPDATE_READ_WAIT = MS      # between two looks whether updates of the worker list that have arrived are read
@@ -48,6 +49,7 @@
     engine: RequestEngine
     poll_monitor: PollMonitor
     admission: Admission
+    worker_budget: MemoryBudget     # for answers of workers that are received in part
 
     def __init__(self, registry: WorkerRegistry, log: Log) -> None:
         self.log, self.registry = log, registry
--- a/threadshift/node/front.py
+++ b/threadshift/node/front.py
@@ -64,7 +64,7 @@
             lambda: self.descriptors.client_limit(self.worker_connections), config.max_activations, types,
             config.deployment.max_retry_after, self.admission, self, self.note, self.chance,
             MemoryBudget(config.client_bytes))
-        self.poll_monitor = self.listener.poll_monitor
+        self.poll_monitor, self.worker_budget = self.listener.poll_monitor, MemoryBudget(config.worker_bytes)
         dispatcher = Dispatcher(rng.getrandbits(63), config.deployment, now)
         previous_process.count_free_orders_as_given(dispatcher, config.deployment, now)
         self.engine = self.listener.engine = RequestEngine(dispatcher, self, self.listener, config.load_timeout)
@@ -249,6 +249,7 @@
         return {"owed": self.engine.owed, "held": len(self.engine.requests),
                 "connections": len(self.listener.connections),
                 "held_kb": self.listener.memory_budget.used >> 10, "gave_way": self.listener.memory_budget.evictions,
+                "worker_kb": self.worker_budget.used >> 10, "workers_gave_way": self.worker_budget.evictions,
                 "flying": len(dispatcher.in_flight), "links": len(self.links),
                 "up": sum(link.up for link in self.open_connections),
                 "worker_connections": self.worker_connections, "dialled_in_all": self.total_dials,
--- a/threadshift/node/front_end_config.py
+++ b/threadshift/node/front_end_config.py
@@ -22,6 +22,7 @@
 WRITE_TIMEOUT = SECOND         # without progress, until a worker that reads nothing is disconnected
 CALLS_DIVISOR = 6              # this fraction of the memory is for the bodies of pending calls, two copies of each
 CLIENTS_DIVISOR = 8            # this fraction of the memory is for what clients have sent in part or have not read
+WORKERS_DIVISOR = 12           # this fraction of the memory is for answers that workers have sent in part
 BUFFER_DIVISOR = 1_024         # this fraction of the memory is for unsent bytes of one connection to a worker
 BODY_DIVISOR = 64              # this fraction of the memory is for the longest answer
 MIN_ACTIVATIONS = 16
@@ -51,6 +52,11 @@
         """The most that is held for clients in all, besides the bodies of pending calls."""
         return self.memory_bytes // CLIENTS_DIVISOR
 
+    @property
+    def worker_bytes(self) -> int:
+        """The most that is held of the answers of all workers that have not arrived whole."""
+        return self.memory_bytes // WORKERS_DIVISOR
+
     def link_settings(self, workers: int) -> LinkSettings:
         """Returns the settings of the link to each of so many workers."""
         return LinkSettings(self.connect_timeout, WRITE_TIMEOUT, self.idle_timeout, self.streams_per_connection,
