Platform: a closed connection to a worker is released at once

Cause: close_connection() kills the greenlet that reads. A killed greenlet keeps its GreenletExit with the frames that it ended in, which refer to the connection, which referred to the greenlet: a reference cycle. What the connection had received of an answer, up to a 64th of the memory, was held until the next full garbage collection, which is rare by intent (garbage_collection.py).

The test failed before: the connection is alive 5 s after it was closed.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -2,9 +2,11 @@
 import gc
 import tracemalloc
 import unittest
+import weakref
 from types import SimpleNamespace
 
 from tests import memory_floods as floods
+from tests.live import until
 from tests.platform import Platform, serve
 from threadshift.coordinator.events import MAX_EVENT_SIZE, EventParser, EventSequence, InvalidEvent
 from threadshift.fastcgi.connection import READ_SIZE, Connection
@@ -153,6 +155,19 @@
             gc.collect()
             self.assertLess(tracemalloc.get_traced_memory()[0] - before, floods.LONG_ANSWER)
 
+    def test_a_closed_connection_to_a_worker_is_released_without_a_garbage_collection(self):
+        """Guards against answers in part that a killed greenlet holds until the next full garbage collection."""
+        with Platform(scripts=(floods.answer_in_part,)) as platform:
+            link = platform.node.links["s-0"]
+            gc.disable()
+            self.addCleanup(gc.enable)
+            platform.client().ask(body=floods.BODY, left="300")
+            until(lambda: any(each.held_bytes() for each in link.connections))
+            closed = weakref.ref(next(each for each in link.connections if each.held_bytes()))
+            link.close_connection(closed())
+            until(lambda: closed() is None)
+            self.assertEqual(platform.node.worker_budget.used, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -468,6 +468,9 @@
             connection.writer.kill(block=False)
         if connection.reader is not None and connection.reader is not gevent.getcurrent():
             connection.reader.kill(block=False)
+        # A greenlet that was killed refers to its frames, and so to the connection: a reference cycle, with what was
+        # received in part in it, until the next full garbage collection.
+        connection.reader = None
         connection.sock.close()
         self.owner.worker_budget.forget(connection)
         connection.in_flight, connection.used_ids = {}, {}
