Platform: clients with many pending requests leave room for those that have none

Cause: the room for pending requests (426 with 80 MB) goes to whoever comes first. An admitted request cannot give way, as it may run, so who came last did.

Change: where half of the room is taken, a connection gets no more than an equal part of seven eighths of it, at least one request (fastcgi/activation_shares.py). Requests that wait before they are admitted count for the room everywhere.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -9,6 +9,7 @@
 from tests.live import until
 from tests.platform import Platform, serve
 from threadshift.coordinator.events import MAX_EVENT_SIZE, EventParser, EventSequence, InvalidEvent
+from threadshift.fastcgi.activation_shares import may_admit
 from threadshift.fastcgi.connection import READ_SIZE, Connection
 from threadshift.memory_budget import MemoryBudget
 
@@ -56,6 +57,45 @@
         self.assertEqual(budget.used, 0)
 
 
+class ActivationShares(unittest.TestCase):
+    def fill(self, connections, limit):
+        """The pending requests of connections that each ask for more and more, in turn."""
+        own = [0] * connections
+        for _ in range(floods.OPEN_REQUESTS):
+            for number in range(connections):
+                others = sum(bool(each) for each in own[:number] + own[number + 1:])
+                own[number] += may_admit(own[number], sum(own), limit, others + 1)
+        return own
+
+    def test_clients_with_many_pending_requests_leave_room_for_one_that_has_none(self):
+        """Guards against clients that take all the room for pending requests: whoever comes last is refused then."""
+        limit = 426
+        for connections in (1, 3, 12, 20, 100, 200, 240):
+            with self.subTest(connections=connections):
+                own = self.fill(connections, limit)
+                self.assertTrue(may_admit(0, sum(own), limit, connections + 1))
+                self.assertGreaterEqual(min(own), 1)
+                if connections * floods.OPEN_REQUESTS <= limit - limit // 8:
+                    self.assertEqual(set(own), {floods.OPEN_REQUESTS})      # nobody is refused where there is room
+
+    def test_no_more_are_admitted_than_there_is_room_for(self):
+        self.assertFalse(may_admit(0, 426, 426, 1))
+        self.assertLessEqual(sum(self.fill(500, 426)), 426)
+
+    def test_a_front_end_leaves_room_beside_clients_that_hold_much(self):
+        """The same at the listener, whose requests wait as no coordinator has answered yet."""
+        with Platform(answering=False, limits={"cores": 1.0, "memory_mb": 16, "sockets": 256}) as platform:
+            listener = platform.node.listener
+            for number in range(8):
+                platform.client().send(floods.whole_requests(number))
+            until(lambda: listener.refusal_counters.totals().get("too-many-activations", 0) > 100)
+            self.assertLess(len(listener.postponed), listener.max_activations)
+            usual = platform.client()
+            usual.ask()
+            waiting = len(listener.postponed)
+            until(lambda: len(listener.postponed) > waiting)
+
+
 class HeldForDiscovery(unittest.TestCase):
     def peak_of(self, stream):
         """The most memory that reading this stream of events takes, and what was invalid in it."""
--- a/threadshift/fastcgi/listener.py
+++ b/threadshift/fastcgi/listener.py
@@ -16,7 +16,7 @@
 from gevent.pool import Group
 
 from threadshift.engine.engine import PendingRequest, RequestEngine
-from threadshift.fastcgi import codec, connection_eviction, requests
+from threadshift.fastcgi import activation_shares, codec, connection_eviction, requests
 from threadshift.fastcgi.codec import BEGIN, ProtocolError, Records
 from threadshift.fastcgi.connection import MAX_OPEN_REQUESTS, READ_SIZE, WRITE_TIMEOUT, Connection, Request
 from threadshift.fastcgi.postponed import FrontEnd, PostponedRequests
@@ -157,11 +157,20 @@
         unread = max(now - received_since, self.poll_monitor.unread_time(now))
         if unread < STALL_THRESHOLD and not self.front_end.list_is_stale() and not self.front_end.has_unread_update():
             self.admit(request, parsed, now - unread)
-        elif len(self.postponed) + len(self.engine.requests) >= self.max_activations:
+        elif not self.has_room(request):
             self.refuse(request, FULL, parsed.id)
         else:
             self.postponed.add(request, parsed, now - unread)
 
+    def has_room(self, request: Request) -> bool:
+        """Whether one more request may be pending, on this connection."""
+        pending = len(self.engine.requests) + len(self.postponed)
+        if pending < self.max_activations // 2:
+            return True
+        own = sum(each.pending is not None for each in request.connection.open.values() if each is not request)
+        return activation_shares.may_admit(own, pending, self.max_activations,
+                                           sum(bool(each.open) for each in self.connections))
+
     # The owner of postponed requests.
 
     def is_open(self, request: Request) -> bool:
@@ -190,7 +199,7 @@
             raise InvalidRequest(409, "a request with this id is open")
         now = time.monotonic_ns()
         late = received_at + parsed.call.left <= now
-        if self.closing or late or len(self.engine.requests) >= self.max_activations:
+        if self.closing or late or not self.has_room(request):
             self.refuse(request, CLOSING if self.closing else LATE if late else FULL, parsed.id)
             return
         request.pending = self.engine.admit(now, parsed.id, parsed.call, request, received_at)
