Platform: what is remembered of functions stays within a part of the memory

Change: the settings of a deployment say for how many functions there is room, a sixth of the memory limit at 3,500 bytes each, 3,994 with 80 MB. Those called least recently are forgotten first, as before. Simulator and daemon have no memory limit of this kind and keep 20,000.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -7,11 +7,14 @@
 
 from tests import memory_floods as floods
 from tests.live import until
-from tests.platform import Platform, serve
+from tests.platform import Platform, configuration, serve
+from threadshift.choice import Dispatcher
 from threadshift.coordinator.events import MAX_EVENT_SIZE, EventParser, EventSequence, InvalidEvent
 from threadshift.fastcgi.activation_shares import may_admit
 from threadshift.fastcgi.connection import READ_SIZE, Connection
+from threadshift.interface import MS, SECOND, WorkerListing, WorkerState
 from threadshift.memory_budget import MemoryBudget
+from threadshift.node.front_end_config import FUNCTIONS_DIVISOR, parse_config
 
 LEAST_SERVED = 0.5      # of the requests of usual clients, as on the days of the platform
 
@@ -96,6 +99,25 @@
             until(lambda: len(listener.postponed) > waiting)
 
 
+class HeldForFunctions(unittest.TestCase):
+    def test_functions_that_clients_name_stay_within_their_part_of_the_memory(self):
+        """Guards against calls of unknown functions, 20,000 of which take half of the memory."""
+        limits = {"cores": 1.0, "memory_mb": floods.MEMORY_MB, "sockets": floods.SOCKETS}
+        deployment = parse_config(configuration(limits=limits), {}, "test").deployment
+        dispatcher = Dispatcher(1, deployment._replace(max_functions=1_000), 0)
+        dispatcher.update_workers(0, [WorkerListing(f"s-{n}", WorkerState.READY) for n in range(100)], True)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for number in range(1_500):
+            activation = dispatcher.admit(number * MS, f"{number:016x}", "check", f"{number:016x}", SECOND)
+            activation.start(number * MS)
+            activation.on_client_gone(number * MS)
+            dispatcher.due()         # forgets the activations that have ended
+        self.assertEqual(len(dispatcher.functions), 1_000)
+        per_function = tracemalloc.get_traced_memory()[0] / len(dispatcher.functions)
+        self.assertLess(per_function * deployment.max_functions, (floods.MEMORY_MB << 20) / FUNCTIONS_DIVISOR)
+
+
 class HeldForDiscovery(unittest.TestCase):
     def peak_of(self, stream):
         """The most memory that reading this stream of events takes, and what was invalid in it."""
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -130,6 +130,7 @@
         # Workers of the own zone are preferred where a send to another zone costs a fee.
         self.preferred_zone = (
             deployment.zone if deployment.cross_zone_fee and self.has_many_front_ends else None)
+        self.max_functions = min(MAX_FUNCTIONS, deployment.max_functions or MAX_FUNCTIONS)
         self.max_retry_after, self.loads_on_miss = deployment.max_retry_after, deployment.loads_on_miss
         self.load_window, self.load_ratio = deployment.load_window or 1, deployment.load_ratio
         # The lower bound of the load limit while the store is crowded.
@@ -288,7 +289,7 @@
         function.turn += 1
         # Functions are kept in the order of their latest call; those called least recently are dropped.
         self.functions[function_name] = function
-        while len(self.functions) > MAX_FUNCTIONS:
+        while len(self.functions) > self.max_functions:
             for activation in self.parked_activations(self.functions.pop(next(iter(self.functions)))):
                 self.give_up(activation, now)
         if now - self.sketch.started_at >= SKETCH_WINDOW and self.sketch.total >= SKETCH_MIN_CALLS:
--- a/threadshift/interface.py
+++ b/threadshift/interface.py
@@ -129,6 +129,7 @@
     cold_time: int = 0           # after which it has its full capacity at the latest
     fall_multiple: float = 1.0   # a cold worker fails if it is sent more than this multiple of its capacity ...
     fall_time: int = SECOND      # ... over this time
+    max_functions: int = 0       # that the memory has room to remember; 0: no limit of this kind
 
 
 class WorkerListing(NamedTuple):
--- a/threadshift/node/front_end_config.py
+++ b/threadshift/node/front_end_config.py
@@ -22,6 +22,8 @@
 WRITE_TIMEOUT = SECOND         # without progress, until a worker that reads nothing is disconnected
 CALLS_DIVISOR = 6              # this fraction of the memory is for the bodies of pending calls, two copies of each
 CLIENTS_DIVISOR = 8            # this fraction of the memory is for what clients have sent in part or have not read
+FUNCTIONS_DIVISOR = 6          # this fraction of the memory is for what is remembered of functions
+FUNCTION_SIZE = 3_500          # bytes that the policy remembers of one, with a hundred workers
 WORKERS_DIVISOR = 12           # this fraction of the memory is for answers that workers have sent in part
 BUFFER_DIVISOR = 1_024         # this fraction of the memory is for unsent bytes of one connection to a worker
 BODY_DIVISOR = 64              # this fraction of the memory is for the longest answer
@@ -113,7 +115,8 @@
         top.read("name", values.name), top.read("listen", values.address),
         top.read("seed", lambda text: int(text, 16)), top.read("coordinator", values.address),
         tuple(updates or ()),
-        deployed._replace(tick=max(deployed.tick, MIN_TICK)),
+        deployed._replace(tick=max(deployed.tick, MIN_TICK),
+                          max_functions=size // FUNCTIONS_DIVISOR // FUNCTION_SIZE),
         max(MIN_ACTIVATIONS, size // CALLS_DIVISOR // MAX_BODY // 2), fields.whole("limits.streamsPerConn", 1),
         fields.ns("limits.connectTimeout", 250 * MS), fields.ns("limits.connIdle", 30 * SECOND),
         fields.ns("familyInfo.loadWait", 10 * SECOND) or 10 * SECOND, sockets, size)
