--- a/threadshift/peers/link.py
+++ b/threadshift/peers/link.py
@@ -25,6 +25,7 @@
 
 MAX_BUFFERED = 8 << 20     # bytes waiting for one peer: two snapshots
 MAX_FRAME_SIZE = 8 << 20   # bytes: a snapshot
+MAX_HELLO_SIZE = 16 << 10  # bytes of a first frame: whoever has not said who it is makes nobody hold more
 CONNECT_TIMEOUT = SECOND
 WRITE_TIMEOUT = 2 * SECOND         # a peer that takes no byte for so long is dialled again
 # an incoming connection without data for so long is closed; heartbeats come each second
@@ -177,13 +178,14 @@
             self.spawn(self.serve_connection, sock)
 
     def serve_connection(self, sock: socket.socket) -> None:
-        name, frames, life = "", FrameDecoder(MAX_FRAME_SIZE), 0
+        name, frames, life = "", FrameDecoder(MAX_HELLO_SIZE), 0
         try:
             sock.settimeout(IDLE_TIMEOUT / SECOND)
             for data in read_chunks(sock, READ_SIZE):
                 for frame in frames.feed(data):
                     if not name:
                         name, life = self.handshake(sock, frame)
+                        frames.max_length = MAX_FRAME_SIZE
                     elif frame["kind"] == "record":
                         self.owner.on_message(name, life, frame["hear"],
                                               validate_message(frame["hear"], frame["say"]))
