Daemon: what clients have sent in part or do not read is bounded in all

A read of 64 KiB was referred to by the greenlet that waited for the next one, and a body stood twice, as it was read and in the request, until the next request began.

Change: connections share a budget of an eighth of the memory that the process may use: the least of the machine's memory, its control group's memory.max and its own limits, divided by the front ends of the configuration. No setting is added. Whoever holds most gives way: a request that is being read gets 503 memory-short with Retry-After, as it did not run; a connection with unread answers is ended. Headers count 256 bytes beside their text.

--- a/threadshift/gateway/front_end.py
+++ b/threadshift/gateway/front_end.py
@@ -30,6 +30,7 @@
 from threadshift.errors import ThreadshiftError
 from threadshift.gateway.admin import Admin
 from threadshift.gateway.base_front_end import BaseFrontEnd
+from threadshift.gateway.memory_limit import memory_limit
 from threadshift.gateway.recent_calls import ConnectionRate, RecentCalls
 from threadshift.interface import MS, SECOND
 from threadshift.invoke import requests
@@ -43,6 +44,7 @@
 from threadshift.links.link import Link
 from threadshift.links.sockets import accept_connections, listener
 from threadshift.log import Log, exception_fields
+from threadshift.memory_budget import CLIENTS_DIVISOR, MemoryBudget
 from threadshift.storage.journal import JournalInUse
 from threadshift.timer import ticks
 
@@ -61,8 +63,10 @@
     """Connects the request engine with clients, workers and peers; owns every greenlet of the process."""
 
     def __init__(self, config: GatewayConfig, index: int, log: Log, seed: int | None = None, disk: Any = None,
-                 version: str = "", ready: Callable[[], None] = lambda: None):
-        """`version` names the rollouts that it runs with; ready() is called once it serves."""
+                 version: str = "", ready: Callable[[], None] = lambda: None, memory_bytes: int | None = None):
+        """`version` names the rollouts that it runs with; ready() is called once it serves.
+
+        `memory_bytes` is what this process may use; by default its part of what the machine allows."""
         super().__init__(WorkerRegistry(config.deployment.drain_grace), log)
         now = time.monotonic_ns()
         self.config, self.index = config, index
@@ -74,7 +78,8 @@
         tenant_weights = weights(config.deployment.tenants)
         self.deferred_calls = InMemoryStore(bounds.deferred, bounds.results, bounds.keep_results, tenant_weights)
         self.admission = Admission(min(each.target_latency for each in config.deployment.types), tenant_weights)
-        self.timeout_monitor = TimeoutMonitor()
+        memory = memory_limit() // config.front_ends if memory_bytes is None else memory_bytes
+        self.timeout_monitor = TimeoutMonitor(MemoryBudget(memory // CLIENTS_DIVISOR))
         self.api = InvokeApi(config, self.name, f"http://{self.own_address}" if self.own_address else "",
                              self.deferred_calls, self.admission, log, self.status, tenant_weights)
         self.poll_monitor, self.api.read_updates = self.api.poll_monitor, self.read_updates
--- a/threadshift/invoke/http.py
+++ b/threadshift/invoke/http.py
@@ -23,15 +23,20 @@
 from threadshift.conf.gateway_config import Bounds
 from threadshift.interface import MS, SECOND
 from threadshift.invoke.input_age import InputAge
-from threadshift.invoke.requests import Problem, Response, problem_response
+from threadshift.invoke.requests import Problem, Response, problem_response, retry_headers
 from threadshift.links.checkpoint import Checkpoint
 from threadshift.links.sockets import has_events
+from threadshift.memory_budget import MemoryBudget
 
 READ_SIZE = 64 << 10                     # bytes
 NO_DEADLINE = 1 << 62
 DEADLINE_CHECK_INTERVAL = 100 * MS       # short enough for deadlines of seconds
 MIN_IDLE_TIME = SECOND                   # without a request, before a connection may be ended to make room
 EVICTION_BATCH = 16                      # connections ended at a time: searching all costs more than ending some
+HEADER_OVERHEAD = 256                    # bytes of memory that a header takes beside its name and value
+REQUEST_OVERHEAD = 4_096                 # the same of a request that is being read, with its parser
+MEMORY_RETRY_DELAY = 500 * MS            # for which a client stays away that held the most
+UNLIMITED = 1 << 62                      # bytes
 LINGER_TIME = SECOND                     # for which input is read after a refusal, or the client may not see it
 REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
 SINGLE_VALUE_HEADERS = frozenset({
@@ -71,8 +76,9 @@
 class TimeoutMonitor:
     """What all connections share. Checks their deadlines: a timer for each read costs more than the read itself."""
 
-    def __init__(self) -> None:
+    def __init__(self, memory_budget: MemoryBudget | None = None) -> None:
         self.connections: set[Connection] = set()
+        self.memory_budget = memory_budget or MemoryBudget(UNLIMITED)
         self.read_turns = BoundedSemaphore()     # of the connections whose input keeps coming
         self.next_check = 0
 
@@ -109,7 +115,8 @@
         self.age = age                          # None where the age of input does not matter
         self.read_deadline = time.monotonic_ns() + bounds.idle
         self.write_deadline = NO_DEADLINE
-        self.is_expired = self.is_writing = False
+        self.is_expired = self.is_writing = self.gave_way = False
+        self.being_written = 0                  # bytes of answers that the operating system has not taken whole
         self.read_pause = 0                     # ns for which nothing is read next; set by the application
         self.exchanges: deque[Exchange] = deque()    # those whose answers are owed, in order
         self.wake = Event()
@@ -171,6 +178,7 @@
         keep_alive = self.parser.should_keep_alive() and not self.application.closing
         exchange = Exchange(self, self.parser.get_method().decode(), self.url.decode("latin-1"), self.headers,
                             bytes(self.body), keep_alive)
+        self.reset()                # or the body would be held twice
         self.exchanges.append(exchange)
         self.application.handle(exchange)
 
@@ -194,50 +202,100 @@
             for exchange in [each for each in self.exchanges if each.response is None]:
                 self.application.on_client_gone(exchange)
             writer.kill()
+            self.timeout_monitor.memory_budget.forget(self)
             self.sock.close()
 
     def read(self) -> Problem | None:
         """Reads requests until the connection ends; returns the reason if it ends by a refusal."""
         checkpoint = Checkpoint(turns=self.timeout_monitor.read_turns,
                                 is_ready=lambda: has_events(self.sock, select.POLLIN))
-        while not self.writing_ended:
-            checkpoint.wait()
-            began = time.monotonic_ns()
-            try:
-                data = self.sock.recv(READ_SIZE)
-            except OSError:
-                data = b""
-            if self.is_expired and self.request_started:
-                return Problem(408, "request-too-slow", "the request was not complete in time")
-            if not data or self.is_expired:
-                return None
-            now = time.monotonic_ns()
-            if self.age is not None:
-                self.age.on_read(began, is_empty=len(data) < READ_SIZE)
-            if not self.request_started:
-                self.request_started, self.read_deadline = now, now + self.bounds.request
-            try:
-                self.parser.feed_data(data)
-            except httptools.HttpParserCallbackError as failed:
-                if isinstance(failed.__context__, Problem):
-                    return failed.__context__
-                raise
-            except httptools.HttpParserError as failed:
-                return Problem(400, "bad-request", f"not HTTP/1.1: {str(failed)[:120]}")
-            if not self.request_started:
-                self.read_deadline = now + self.bounds.idle
-            try:
-                self.flush()        # a refusal that is ready needs no switch to the writing greenlet
-            except OSError:
-                return None
-            if self.read_pause:
-                # A client that was told to retry later is not read before: to read and refuse a request costs half as
-                # much as to serve it.
-                if self.age is not None:
-                    self.age.pause(self.sock, self.read_pause)
-                self.read_pause = 0
+        try:
+            while not self.writing_ended:
+                checkpoint.wait()
+                if not self.read_input():
+                    return None
+        except Problem as refusal:
+            return refusal.with_traceback(None)
         return None
 
+    def read_input(self) -> bool:
+        """Reads once and handles what was read; False at the end. Raises Problem, the reason of a refusal.
+
+        What was read is referred to in here alone: read() would hold it until something else arrives."""
+        began = time.monotonic_ns()
+        try:
+            data = self.sock.recv(READ_SIZE)
+        except OSError:
+            data = b""
+        if self.is_expired and self.request_started:
+            raise self.reason_of_expiry()
+        if not data or self.is_expired:
+            return False
+        now = time.monotonic_ns()
+        if self.age is not None:
+            self.age.on_read(began, is_empty=len(data) < READ_SIZE)
+        if not self.request_started:
+            self.request_started, self.read_deadline = now, now + self.bounds.request
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserCallbackError as failed:
+            if isinstance(failed.__context__, Problem):
+                raise failed.__context__ from None
+            raise
+        except httptools.HttpParserError as failed:
+            raise Problem(400, "bad-request", f"not HTTP/1.1: {str(failed)[:120]}") from None
+        del data
+        if not self.request_started:
+            self.read_deadline = now + self.bounds.idle
+        try:
+            self.flush()        # a refusal that is ready needs no switch to the writing greenlet
+        except OSError:
+            return False
+        self.record_memory()
+        if self.read_pause:
+            # A client that was told to retry later is not read before: to read and refuse a request costs half as
+            # much as to serve it.
+            if self.age is not None:
+                self.age.pause(self.sock, self.read_pause)
+            self.read_pause = 0
+        return True
+
+    def reason_of_expiry(self) -> Problem:
+        """Why a request that was not read whole is refused."""
+        if self.gave_way:
+            return Problem(503, "memory-short", "requests that have arrived in part hold too much memory",
+                           headers=[("Final", "rejected"), *retry_headers(MEMORY_RETRY_DELAY)])
+        return Problem(408, "request-too-slow", "the request was not complete in time")
+
+    # What is held for the client.
+
+    def record_memory(self) -> None:
+        """Records what is held for this client. May end this connection, or others."""
+        self.timeout_monitor.memory_budget.record(self, self.held_bytes())
+
+    def held_bytes(self) -> int:
+        """What is held for this client: a request that is being read, and answers that are not written."""
+        half_read = 0
+        if self.request_started and not self.gave_way:
+            half_read = REQUEST_OVERHEAD + self.header_size + HEADER_OVERHEAD * len(self.headers) + len(self.body)
+        return half_read + self.being_written + sum(
+            len(each.response.body) + len(each.response.serialized)
+            for each in self.exchanges if each.response is not None)
+
+    def give_way(self) -> None:
+        """Ends the connection, with a refusal where a request is being read, which did not run.
+
+        Called again, or without such a request, it drops the answers that the client does not read."""
+        is_half_read = bool(self.request_started) and not self.gave_way
+        self.gave_way = self.is_expired = True
+        self.reset()
+        for exchange in self.exchanges:
+            exchange.body = b""
+            if exchange.response is not None and not is_half_read:
+                exchange.response = Response(503, [])
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RD if is_half_read else socket.SHUT_RDWR)
+
     def expire(self, now: int) -> None:
         """A deadline has passed. While a client waits for our answer, only the answer's own time limit applies."""
         if self.write_deadline <= now:
@@ -271,22 +329,27 @@
         self.is_writing = True
         try:
             while not self.writing_ended and self.exchanges and self.exchanges[0].response is not None:
-                parts, keep_alive = [], True
-                while keep_alive and self.exchanges and self.exchanges[0].response is not None:
-                    exchange = self.exchanges.popleft()
-                    keep_alive = exchange.keep_alive
-                    parts.append(self.bytes_of(exchange, keep_alive))
-                self.write_deadline = time.monotonic_ns() + self.bounds.write
-                self.sock.sendall(b"".join(parts) if len(parts) > 1 else parts[0])
+                data, keep_alive = self.take_answers()
+                self.write_deadline, self.being_written = time.monotonic_ns() + self.bounds.write, len(data)
+                self.sock.sendall(data)
                 self.write_deadline = NO_DEADLINE
                 if not keep_alive:
                     self.writing_ended = True
                     if not self.reading_ended:
                         self.sock.shutdown(socket.SHUT_WR)
         finally:
-            self.is_writing = False
+            self.is_writing, self.being_written = False, 0
             self.wake.set()
 
+    def take_answers(self) -> tuple[bytes, bool]:
+        """The bytes of the answers that are ready, and whether the connection is kept after them."""
+        parts, keep_alive = [], True
+        while keep_alive and self.exchanges and self.exchanges[0].response is not None:
+            exchange = self.exchanges.popleft()
+            keep_alive = exchange.keep_alive
+            parts.append(self.bytes_of(exchange, keep_alive))
+        return b"".join(parts) if len(parts) > 1 else parts[0], keep_alive
+
     @staticmethod
     def bytes_of(exchange: Exchange, keep_alive: bool) -> bytes:
         response = exchange.response
@@ -299,6 +362,7 @@
         """An exchange has its answer, which is written once all answers before it are."""
         if self.exchanges and self.exchanges[0] is exchange:
             self.wake.set()
+        self.record_memory()
 
     def linger(self) -> None:
         """Reads and drops further input for a while: a reset would hide the refusal from the client otherwise."""
--- a/threadshift/memory_budget.py
+++ b/threadshift/memory_budget.py
@@ -9,6 +9,11 @@
 import heapq
 from typing import Protocol
 
+# The parts of a process's memory. What malloc keeps of earlier peaks comes on top of them.
+CLIENTS_DIVISOR = 8        # this fraction is for what clients have sent in part or have not read
+WORKERS_DIVISOR = 12       # this fraction is for answers that workers have sent in part
+CALLS_DIVISOR = 6          # this fraction is for the bodies of pending calls, two copies of each
+
 SPARE_DIVISOR = 8          # this fraction of the limit is freed at once, as measuring all holders takes a while
 EVICTION_BATCH = 8         # holders that give way between two measurements
 
--- a/threadshift/node/front_end_config.py
+++ b/threadshift/node/front_end_config.py
@@ -16,15 +16,13 @@
 from threadshift.frames import pool
 from threadshift.frames.link import LinkSettings
 from threadshift.interface import MS, SECOND, Deployment
+from threadshift.memory_budget import CALLS_DIVISOR, CLIENTS_DIVISOR, WORKERS_DIVISOR
 
 MAX_FILE = 64 << 20            # bytes; a list of ten thousand workers takes a tenth of this
 MIN_TICK = 3 * MS // 2         # calls are given up two ticks before their time ends, for answers to leave in time
 WRITE_TIMEOUT = SECOND         # without progress, until a worker that reads nothing is disconnected
-CALLS_DIVISOR = 6              # this fraction of the memory is for the bodies of pending calls, two copies of each
-CLIENTS_DIVISOR = 8            # this fraction of the memory is for what clients have sent in part or have not read
 FUNCTIONS_DIVISOR = 6          # this fraction of the memory is for what is remembered of functions
 FUNCTION_SIZE = 3_500          # bytes that the policy remembers of one, with a hundred workers
-WORKERS_DIVISOR = 12           # this fraction of the memory is for answers that workers have sent in part
 BUFFER_DIVISOR = 1_024         # this fraction of the memory is for unsent bytes of one connection to a worker
 BODY_DIVISOR = 64              # this fraction of the memory is for the longest answer
 MIN_ACTIVATIONS = 16
