Daemon: a closed connection is released at once

Callers saw: a front end grows by 300 MB with each round of 300 clients that send half a body, though they are gone.

Cause: httptools' parser refers to the connection whose methods it calls, and the connection to its parser: a reference cycle. What was read on a connection is held until the next full garbage collection, which is rare by intent.

The test failed before: the connection is alive 5 s after its client has gone.

--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -1,5 +1,7 @@
 """What peers make the daemon hold stays within its memory, however many of them there are, and others are served."""
+import gc
 import unittest
+import weakref
 from contextlib import suppress
 from unittest import mock
 
@@ -82,6 +84,17 @@
             self.assertGreater(budget.evictions, 0)
             self.assertEqual(len(live.call("f").body), BODY)
 
+    def test_a_closed_connection_is_released_without_a_garbage_collection(self):
+        """Guards against what was read on a connection that its parser holds until the next full collection."""
+        with Live() as live:
+            gc.disable()
+            self.addCleanup(gc.enable)
+            sock = self.connect(live, request(bytes(BODY - 1)))
+            until(lambda: any(each.held_bytes() > BODY for each in live.front.timeout_monitor.connections))
+            connection = weakref.ref(next(iter(live.front.timeout_monitor.connections)))
+            sock.close()
+            until(lambda: connection() is None)
+
 
 
 class Limits(unittest.TestCase):
--- a/threadshift/invoke/http.py
+++ b/threadshift/invoke/http.py
@@ -204,6 +204,9 @@
             writer.kill()
             self.timeout_monitor.memory_budget.forget(self)
             self.sock.close()
+            # The parser refers to this connection: a reference cycle, with what was read in it, until the next full
+            # garbage collection.
+            del self.parser
 
     def read(self) -> Problem | None:
         """Reads requests until the connection ends; returns the reason if it ends by a refusal."""
