Daemon: the bodies of calls under way are bounded in all

Callers saw: 300 clients that each make a call with a body of 900 KB that is not answered take a front end to 925 MB.

Cause: calls under way are bounded in number, 4,096, whatever the length of their bodies, a MB each at most.

Change: bodies of calls count until the call is answered or its client has gone, with three copies of each in a sixth of the memory. They cannot give way, so a call takes at most an eighth of what is free: a large one is refused as memory-short, with Retry-After, while there is room for many small ones. Calls of batches are not counted (open).

The test failed without the check.

--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -1,5 +1,6 @@
 """What peers make the daemon hold stays within its memory, however many of them there are, and others are served."""
 import gc
+import json
 import unittest
 import weakref
 from contextlib import suppress
@@ -11,7 +12,7 @@
 from tests.live import Live, ScriptedWorker, until
 from threadshift.gateway import memory_limit
 from threadshift.links.codec import encode
-from threadshift.memory_budget import CLIENTS_DIVISOR
+from threadshift.memory_budget import CLIENTS_DIVISOR, AdmittedBytes
 
 MEMORY = 96 << 20          # bytes
 BODY = 900_000             # bytes; a frame to a worker takes it
@@ -95,6 +96,31 @@
             sock.close()
             until(lambda: connection() is None)
 
+    def test_large_bodies_of_calls_under_way_leave_room_for_small_ones(self):
+        """Guards against calls under way that are bounded in number, whatever the length of their bodies."""
+        worker = ScriptedWorker("w9", lambda worker, sock, frames: list(frames))
+        with Live(workers=0, memory_bytes=MEMORY) as live:
+            live.extra.append(worker)
+            live.list("w9", worker.address)
+            until(lambda: "w9" in live.front.links and live.front.links["w9"].up)
+            held = live.front.api.admitted_bytes
+            held.take("others", held.limit - 4 * BODY)          # a call may take an eighth of what is free
+            refused = live.call("f", bytes(BODY))
+            self.assertEqual((refused.status, json.loads(refused.body)["title"]), (503, "memory short"))
+            taken = held.used
+            self.connect(live, request(b"x" * 1000, 1000))
+            until(lambda: held.used == taken + 1000)
+            live.front.api.admitted_bytes.release("others")
+
+    def test_bytes_of_a_call_count_until_it_is_answered_or_its_client_is_gone(self):
+        with Live(memory_bytes=MEMORY) as live:
+            self.assertEqual(live.call("f", bytes(1000)).status, 200)
+            live.call("f", bytes(1000), Prefer="respond-async")
+            sock = self.connect(live, request(bytes(1000), 1000))
+            until(lambda: live.front.api.admitted_bytes.used)
+            sock.close()
+            until(lambda: not live.front.api.admitted_bytes.used and not live.front.api.admitted_bytes.taken)
+
 
 
 class Limits(unittest.TestCase):
@@ -111,6 +137,14 @@
             self.assertEqual(memory_limit.memory_limit(), 64 << 20)
         self.assertGreater(memory_limit.memory_limit(), 64 << 20)
 
+    def test_a_call_takes_no_more_than_a_part_of_what_is_free(self):
+        held = AdmittedBytes(800)
+        self.assertEqual([held.has_room(size) for size in (100, 101)], [True, False])
+        held.take("a", 400)
+        self.assertEqual([held.has_room(size) for size in (50, 51)], [True, False])
+        held.release("a")
+        held.release("a")
+        self.assertEqual(held.used, 0)
 
 
 if __name__ == "__main__":
--- a/threadshift/gateway/front_end.py
+++ b/threadshift/gateway/front_end.py
@@ -44,10 +44,11 @@
 from threadshift.links.link import Link
 from threadshift.links.sockets import accept_connections, listener
 from threadshift.log import Log, exception_fields
-from threadshift.memory_budget import CLIENTS_DIVISOR, MemoryBudget
+from threadshift.memory_budget import CALLS_DIVISOR, CLIENTS_DIVISOR, AdmittedBytes, MemoryBudget
 from threadshift.storage.journal import JournalInUse
 from threadshift.timer import ticks
 
+COPIES_OF_A_BODY = 3                 # of a pending call: its client's, in a frame to a worker, and as it is packed
 TAKEOVER_RETRY_INTERVAL = 50 * MS    # between tries to open what the front end that is replaced still holds
 OPEN_RETRY_FACTOR = 20               # times that interval, after errors that do not come from a takeover
 EVICTION_WAIT = 2 * MS               # for connections that make room to end: two iterations of the event loop
@@ -81,7 +82,8 @@
         memory = memory_limit() // config.front_ends if memory_bytes is None else memory_bytes
         self.timeout_monitor = TimeoutMonitor(MemoryBudget(memory // CLIENTS_DIVISOR))
         self.api = InvokeApi(config, self.name, f"http://{self.own_address}" if self.own_address else "",
-                             self.deferred_calls, self.admission, log, self.status, tenant_weights)
+                             self.deferred_calls, self.admission, log, self.status, tenant_weights,
+                             AdmittedBytes(memory // CALLS_DIVISOR // COPIES_OF_A_BODY))
         self.poll_monitor, self.api.read_updates = self.api.poll_monitor, self.read_updates
         dispatcher = Dispatcher(generator.getrandbits(63), config.deployment, now)
         previous_process.count_free_orders_as_given(dispatcher, config.deployment, now)
--- a/threadshift/invoke/api.py
+++ b/threadshift/invoke/api.py
@@ -23,6 +23,7 @@
     BATCH_CANCEL_PATH, BATCH_PATH, CALL_PATH, CALLS_PATH, CANCEL_RESTORE_PATH, Problem, Response)
 from threadshift.invoke.shares import SharedCapacity
 from threadshift.log import Log
+from threadshift.memory_budget import AdmittedBytes
 
 MEAN_RETRY_DELAY = SECOND            # that a refusal names; long enough to spread a burst
 # Delays from half to one and a half times the mean are named in turn: if all were the same, a burst would return as
@@ -78,11 +79,12 @@
 
     def __init__(self, config: GatewayConfig, name: str, base_url: str, deferred_calls: DeferredCallStore,
                  admission: Admission, log: Log, status: Callable[[], dict[str, Any]],
-                 tenant_weights: Mapping[str, float]):
+                 tenant_weights: Mapping[str, float], admitted_bytes: AdmittedBytes):
         self.config, self.base_url, self.deferred_calls, self.admission = config, base_url, deferred_calls, admission
         self.log, self.status = log, status
         self.functions = requests.FunctionTable(config)
         self.closing = False
+        self.admitted_bytes = admitted_bytes
         self.capacity = SharedCapacity(config.bounds.activations, tenant_weights)   # for activations under way
         self.refusal_counters = RefusalCounters()
         self.overloaded_responses, self.retry_delays = cycle(OVERLOADED_RESPONSES), cycle(RETRY_DELAYS)
@@ -196,6 +198,8 @@
             raise self.refusal(503, "too-many-activations",
                                f"{self.capacity.used} activations are under way here, "
                                f"{self.capacity.used_by[self.capacity.key(tenant)]} of them for this tenant", tenant)
+        if not self.admitted_bytes.has_room(len(call.body)):
+            raise self.refusal(503, "memory-short", "the bodies of calls under way hold too much memory", tenant)
         if preference.deferred and not self.deferred_calls.has_room(tenant):
             raise self.refusal(429, "too-many-deferred", "the limit of deferred calls is reached", tenant)
         batch = requests.batch_name(exchange.headers, preference)
@@ -203,19 +207,20 @@
             self.require_batch_service().accept(exchange, call, batch, received_at)
             return
         self.capacity.acquire(tenant)
+        activation_id = self.new_id()
+        self.admitted_bytes.take(activation_id, len(call.body))
         if preference.deferred:
-            self.accept_deferred_call(exchange, call, received_at)
+            self.accept_deferred_call(exchange, activation_id, call, received_at)
             return
         exchange.pending = True        # the call may be answered before admit() returns
-        exchange.pending = self.engine.admit(time.monotonic_ns(), self.new_id(), call, exchange, received_at)
+        exchange.pending = self.engine.admit(time.monotonic_ns(), activation_id, call, exchange, received_at)
 
     def refusal(self, status: int, kind: str, detail: str, tenant: str) -> Problem:
         """Counts a refusal and returns the problem to raise."""
         self.refusal_counters.record(time.monotonic_ns(), kind, self.capacity.key(tenant))
         return rejection(status, kind, detail, next(self.retry_delays))
 
-    def accept_deferred_call(self, exchange: Exchange, call: Call, received_at: int) -> None:
-        activation_id = self.new_id()
+    def accept_deferred_call(self, exchange: Exchange, activation_id: str, call: Call, received_at: int) -> None:
         deferred_call = self.deferred_calls.add(activation_id, call.tenant)
         exchange.respond(requests.accepted_response(activation_id, self.base_url))
         self.engine.admit(time.monotonic_ns(), activation_id, call, deferred_call, received_at)
@@ -268,6 +273,7 @@
         answer = pending.answer
         assert answer is not None
         self.capacity.release(pending.call.tenant)
+        self.admitted_bytes.release(pending.id)
         if answer.final is not FinalKind.COMPLETED:
             self.refusal_counters.record(pending.answered_at, f"{answer.final.value}-{answer.reason}",
                                          self.capacity.key(pending.call.tenant))
@@ -282,6 +288,7 @@
         self.log_final_answer(pending, answer)
 
     def on_finished(self, pending: PendingRequest) -> None:
+        self.admitted_bytes.release(pending.id)
         if pending.client_gone and not (self.batch_service is not None and self.batch_service.owns(pending)):
             self.call_recorder.record(self.engine.now, pending)
             self.log_final_answer(pending, Answer(FinalKind.ABORTED, "client-left"))
--- a/threadshift/memory_budget.py
+++ b/threadshift/memory_budget.py
@@ -77,3 +77,28 @@
                     break               # nothing more can be released
         finally:
             self.is_evicting = False
+
+
+class AdmittedBytes:
+    """The bodies of admitted calls, which cannot give way: a call may take only a part of what is free.
+
+    So a large one is refused while there is room for many small ones."""
+
+    FREE_DIVISOR = 8       # a call takes at most this fraction of what is free
+
+    def __init__(self, limit: int):
+        self.limit, self.used = limit, 0
+        self.taken: dict[str, int] = {}          # by the id of the call
+
+    def has_room(self, size: int) -> bool:
+        """Whether a call with a body of so many bytes may be admitted."""
+        return size <= (self.limit - self.used) // self.FREE_DIVISOR
+
+    def take(self, call: str, size: int) -> None:
+        """Counts the body of a call that is admitted."""
+        self.taken[call] = size
+        self.used += size
+
+    def release(self, call: str) -> None:
+        """Counts the body of a call no more, if it was counted."""
+        self.used -= self.taken.pop(call, 0)
