Daemon: frames that workers have sent in part are bounded in all

Change: links share a budget of a twelfth of the memory that the process may use, apart from that of clients. The link that holds most ends as by a break. What a link has read is no longer referred to while it waits for more.

The test (20 workers that each send a frame of 900 KB but for its end, 8 MB allowed) failed with the budget taken out; usual calls are served and the links of other workers stay up.

--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -3,16 +3,21 @@
 import json
 import unittest
 import weakref
-from contextlib import suppress
+from contextlib import closing, suppress
 from unittest import mock
 
 import gevent
 from gevent import socket
 
-from tests.live import Live, ScriptedWorker, until
+from tests.live import Live, ScriptedWorker, free_port, until
+from threadshift.conf.peering import Peer, PeersConfig
+from threadshift.conf.values import Address
+from threadshift.consensus.member import Timing
 from threadshift.gateway import memory_limit
-from threadshift.links.codec import encode
-from threadshift.memory_budget import CLIENTS_DIVISOR, AdmittedBytes
+from threadshift.interface import SECOND
+from threadshift.links.codec import VERSION, encode
+from threadshift.memory_budget import CLIENTS_DIVISOR, WORKERS_DIVISOR, AdmittedBytes
+from threadshift.peers.link import MAX_HELLO_SIZE, PeerListener
 
 MEMORY = 96 << 20          # bytes
 BODY = 900_000             # bytes; a frame to a worker takes it
@@ -121,6 +126,35 @@
             sock.close()
             until(lambda: not live.front.api.admitted_bytes.used and not live.front.api.admitted_bytes.taken)
 
+    def test_half_sent_frames_of_many_workers_stay_within_the_memory(self):
+        """Guards against frames of workers that are bounded for each link and not in all."""
+        def send_half(worker, sock, frames):
+            sock.sendall(encode("result", id=1, body=bytes(BODY))[:-1])
+            gevent.sleep(60)
+        workers = [ScriptedWorker(f"b{number}", send_half) for number in range(20)]
+        with Live(memory_bytes=MEMORY) as live:
+            budget = live.front.worker_budget
+            live.extra += workers
+            for number, worker in enumerate(workers):
+                live.list(f"b{number}", worker.address)
+            until(lambda: budget.evictions)
+            until(lambda: any(fields for event, fields in live.log.events if event == "list-applied"))
+            self.assertLessEqual(budget.used, MEMORY // WORKERS_DIVISOR)
+            self.assertEqual(live.call("f").status, 200)
+            links = [live.front.links[f"w{number}"] for number in range(2)]
+            self.assertTrue(all(link.up for link in links))
+
+    def test_whoever_has_not_said_who_it_is_makes_a_peer_hold_little(self):
+        """Guards against strangers that each announce a frame as long as a snapshot and send it but for its end."""
+        peers = tuple(Peer(name, Address("127.0.0.1", free_port()), True) for name in ("a", "b"))
+        owner = mock.Mock()
+        listener = PeerListener(PeersConfig(peers, "", SECOND, Timing()), "a", 1, "digest", owner)
+        listener.start()
+        self.addCleanup(listener.stop)
+        with closing(socket.create_connection(tuple(peers[0].address)[:2])) as sock:
+            sock.sendall(encode("hello", version=VERSION, name="b", padding="x" * MAX_HELLO_SIZE)[:MAX_HELLO_SIZE])
+            sock.settimeout(5)
+            self.assertIn(b"refused", sock.recv(65536))
 
 
 class Limits(unittest.TestCase):
--- a/threadshift/gateway/front_end.py
+++ b/threadshift/gateway/front_end.py
@@ -44,7 +44,7 @@
 from threadshift.links.link import Link
 from threadshift.links.sockets import accept_connections, listener
 from threadshift.log import Log, exception_fields
-from threadshift.memory_budget import CALLS_DIVISOR, CLIENTS_DIVISOR, AdmittedBytes, MemoryBudget
+from threadshift.memory_budget import CALLS_DIVISOR, CLIENTS_DIVISOR, WORKERS_DIVISOR, AdmittedBytes, MemoryBudget
 from threadshift.storage.journal import JournalInUse
 from threadshift.timer import ticks
 
@@ -81,6 +81,7 @@
         self.admission = Admission(min(each.target_latency for each in config.deployment.types), tenant_weights)
         memory = memory_limit() // config.front_ends if memory_bytes is None else memory_bytes
         self.timeout_monitor = TimeoutMonitor(MemoryBudget(memory // CLIENTS_DIVISOR))
+        self.worker_budget = MemoryBudget(memory // WORKERS_DIVISOR)
         self.api = InvokeApi(config, self.name, f"http://{self.own_address}" if self.own_address else "",
                              self.deferred_calls, self.admission, log, self.status, tenant_weights,
                              AdmittedBytes(memory // CALLS_DIVISOR // COPIES_OF_A_BODY))
--- a/threadshift/links/link.py
+++ b/threadshift/links/link.py
@@ -23,6 +23,7 @@
 from threadshift.links.outbox import Outbox
 from threadshift.links.redial import ReconnectBackoff
 from threadshift.links.sockets import READ_SIZE, connect, time_since_poll, write_out
+from threadshift.memory_budget import MemoryBudget
 
 MAX_SILENT_KEEPALIVES = 3      # the link counts as broken after so many keepalive intervals without a frame
 COPY_BY_NAME = {copy.value: copy for copy in Copy}
@@ -40,6 +41,8 @@
     # The worker says that it drains.
     def on_draining(self, worker: str) -> None: ...
     def note(self, event: str, **fields: Any) -> None: ...
+    @property
+    def worker_budget(self) -> MemoryBudget: ...   # for frames of all workers that are received in part
 
 
 def parse_report(fields: Any) -> Report | None:
@@ -82,7 +85,8 @@
         self.backoff = ReconnectBackoff(chance)
         self.not_before = 0
         self.sock: socket.socket | None = None
-        self.up = False
+        self.decoder = FrameDecoder(bounds.frame)
+        self.up = self.gave_way = False         # gave_way: it ends as it held the most of the memory for frames
         # By frame id, what its answer goes to: (PendingRequest, send number) or a PendingWorkerQuery.
         self.receivers: dict[int, Any] = {}
         self.frame_ids: dict[tuple, int] = {}   # by receiver_key(), to find the frame of a send to cancel
@@ -189,11 +193,11 @@
             problem = "closed by the worker"
             try:
                 self.sock = connect(self.address, self.bounds.connect)
-                decoder = FrameDecoder(self.bounds.frame)
-                self.exchange_hellos(decoder)
+                self.decoder, self.gave_way = FrameDecoder(self.bounds.frame), False
+                self.exchange_hellos()
                 writer = gevent.spawn(self.write)
-                self.read(decoder)
-                if decoder.is_mid_frame:
+                self.read()
+                if self.decoder.is_mid_frame:
                     problem = "closed by the worker inside a frame"
             except (OSError, ProtocolError) as failed:
                 problem = str(failed) or type(failed).__name__
@@ -201,6 +205,7 @@
                     self.send_refusal(problem)
             finally:
                 self.up = False
+                self.owner.worker_budget.forget(self)
                 if writer is not None:
                     writer.kill()
                 if self.sock is not None:
@@ -211,7 +216,7 @@
             if not self.stopped:
                 self.on_connection_lost(problem)
 
-    def exchange_hellos(self, decoder: FrameDecoder) -> None:
+    def exchange_hellos(self) -> None:
         """Sends and reads a hello. The owner checks that the worker is the one listed with this address."""
         assert self.sock is not None
         self.sock.sendall(encode("hello", version=VERSION, name=self.front_end, zone=self.zone,
@@ -227,7 +232,8 @@
                 raise OSError("no hello in time") from None
             if not data:
                 raise OSError("closed before its hello")
-            first_frames = decoder.feed(data)
+            first_frames = self.decoder.feed(data)
+            self.record_memory()
         hello = first_frames.pop(0)
         if hello["kind"] != "hello":
             raise ProtocolError(f"'{hello['kind']}' came before hello")
@@ -250,32 +256,59 @@
         for frame in first_frames:
             self.handle_frame(frame)
 
-    def read(self, decoder: FrameDecoder) -> None:
+    def read(self) -> None:
         """Handles frames until the worker closes the connection."""
-        assert self.sock is not None
         checkpoint = Checkpoint()
         while True:
             checkpoint.wait()
-            self.sock.settimeout(self.bounds.keepalive / SECOND)
-            try:
-                data = self.sock.recv(READ_SIZE)
-            except TimeoutError:
-                # Only a ping finds a half-open connection.
-                if time.monotonic_ns() - self.last_frame_at > MAX_SILENT_KEEPALIVES * self.bounds.keepalive:
-                    raise OSError("silent for longer than the keepalive limit") from None
-                self.send_ping()
-                continue
-            if not data:
+            if not self.read_frames():
                 return
-            self.last_frame_at = time.monotonic_ns()
-            frames = decoder.feed(data)
-            for frame in frames:
-                if frame["kind"] == "draining":
-                    self.handle_frame(frame)        # before the answers, even where it came after them
-            self.owner.catch_up_after_stall()
-            for frame in frames:
-                if frame["kind"] != "draining":
-                    self.handle_frame(frame)
+
+    def read_frames(self) -> bool:
+        """Reads once and handles the frames; False at the end. Raises OSError and ProtocolError.
+
+        What was read is referred to in here alone: read() would hold it until something else arrives."""
+        assert self.sock is not None
+        self.sock.settimeout(self.bounds.keepalive / SECOND)
+        try:
+            data = self.sock.recv(READ_SIZE)
+        except TimeoutError:
+            # Only a ping finds a half-open connection.
+            if time.monotonic_ns() - self.last_frame_at > MAX_SILENT_KEEPALIVES * self.bounds.keepalive:
+                raise OSError("silent for longer than the keepalive limit") from None
+            self.send_ping()
+            return True
+        if self.gave_way:
+            raise OSError("frames that have arrived in part hold too much memory")
+        if not data:
+            return False
+        self.last_frame_at = time.monotonic_ns()
+        frames = self.decoder.feed(data)
+        for frame in frames:
+            if frame["kind"] == "draining":
+                self.handle_frame(frame)        # before the answers, even where it came after them
+        self.owner.catch_up_after_stall()
+        for frame in frames:
+            if frame["kind"] != "draining":
+                self.handle_frame(frame)
+        self.record_memory()
+        return True
+
+    def record_memory(self) -> None:
+        """Records what is held for this worker. May end this connection, or those of others."""
+        self.owner.worker_budget.record(self, self.held_bytes())
+
+    def held_bytes(self) -> int:
+        """What is held of a frame that has not arrived whole."""
+        return len(self.decoder.buffer)
+
+    def give_way(self) -> None:
+        """Drops what is held. The greenlet that reads then ends the connection."""
+        self.gave_way = True
+        self.decoder.buffer = bytearray()
+        if self.sock is not None:
+            with suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)
 
     def update_time_left(self) -> None:
         """Updates the time left in the calls that are not written yet, and holds back those without any."""
