Connections that have ended record nothing any more

Cause: an answer of a batch, or to a call whose handling went on, may come after its HTTP connection has ended, which then recorded it, and was held with it by the budget for good. The same where a reader of a worker's connection closes it itself and records what it holds afterwards.

Change: a connection that ends drops its exchanges and what it has read, so that it records nothing. The test failed before (904,664 bytes of a connection that had ended).

--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -15,6 +15,7 @@
 from threadshift.consensus.member import Timing
 from threadshift.gateway import memory_limit
 from threadshift.interface import SECOND
+from threadshift.invoke.requests import Response
 from threadshift.links.codec import VERSION, encode
 from threadshift.memory_budget import CLIENTS_DIVISOR, WORKERS_DIVISOR, AdmittedBytes
 from threadshift.peers.link import MAX_HELLO_SIZE, PeerListener
@@ -101,6 +102,19 @@
             sock.close()
             until(lambda: connection() is None)
 
+    def test_an_answer_that_comes_after_the_end_of_its_connection_counts_nowhere(self):
+        """Guards against connections that the budget would hold, with their answers, for good."""
+        with Live() as live:
+            budget = live.front.timeout_monitor.memory_budget
+            exchanges = []
+            with mock.patch.object(live.front.api, "handle", exchanges.append):
+                sock = self.connect(live, request(bytes(1000), 1000) + request(bytes(10)))
+                until(lambda: exchanges and budget.used)
+                sock.close()
+                until(lambda: not live.front.timeout_monitor.connections)
+            exchanges[0].respond(Response(200, [], bytes(BODY)))
+            self.assertEqual((budget.used, budget.recorded), (0, {}))
+
     def test_large_bodies_of_calls_under_way_leave_room_for_small_ones(self):
         """Guards against calls under way that are bounded in number, whatever the length of their bodies."""
         worker = ScriptedWorker("w9", lambda worker, sock, frames: list(frames))
--- a/threadshift/frames/link.py
+++ b/threadshift/frames/link.py
@@ -473,6 +473,7 @@
         connection.reader = None
         connection.sock.close()
         self.owner.worker_budget.forget(connection)
+        connection.decoder.buffer = b""         # the reader, where it has called this, records once more
         connection.in_flight, connection.used_ids = {}, {}
         connection.outbox.clear()
 
--- a/threadshift/invoke/http.py
+++ b/threadshift/invoke/http.py
@@ -202,8 +202,12 @@
             for exchange in [each for each in self.exchanges if each.response is None]:
                 self.application.on_client_gone(exchange)
             writer.kill()
-            self.timeout_monitor.memory_budget.forget(self)
             self.sock.close()
+            # An answer may still come: nothing is held for it, and this connection records nothing any more.
+            self.exchanges.clear()
+            self.reset()
+            self.request_started = 0
+            self.timeout_monitor.memory_budget.forget(self)
             # The parser refers to this connection: a reference cycle, with what was read in it, until the next full
             # garbage collection.
             del self.parser
