--- a/threadshift/fastcgi/listener.py
+++ b/threadshift/fastcgi/listener.py
@@ -165,7 +165,7 @@
     def has_room(self, request: Request) -> bool:
         """Whether one more request may be pending, on this connection."""
         pending = len(self.engine.requests) + len(self.postponed)
-        if pending < self.max_activations // 2:
+        if activation_shares.is_ample(pending, self.max_activations):
             return True
         own = sum(each.pending is not None for each in request.connection.open.values() if each is not request)
         return activation_shares.may_admit(own, pending, self.max_activations,
