Daemon: a call within the configured bound is not refused for ever

Callers would see: on a process with under 150 MB each call with a body of 1 MB, which the default bound allows, is refused as memory-short with an advice to come back, also where nothing else is under way. Found by reading the change again.

Cause: a call could take an eighth of what is free at most, and with 150 MB all that is for bodies is 8 MB.

Change: that holds only where half of the room is taken; until then a call may take what is left of the first half, and a call alone is admitted whatever its length. A large call is still refused where room is short and small ones are served.

--- a/threadshift/memory_budget.py
+++ b/threadshift/memory_budget.py
@@ -80,11 +80,12 @@
 
 
 class AdmittedBytes:
-    """The bodies of admitted calls, which cannot give way: a call may take only a part of what is free.
+    """The bodies of admitted calls, which cannot give way. Where half is taken, a call gets only a part of the rest.
 
-    So a large one is refused while there is room for many small ones."""
+    So a large one is refused while there is room for many small ones. A call alone is admitted whatever its length,
+    which other bounds limit: it would be refused for ever otherwise."""
 
-    FREE_DIVISOR = 8       # a call takes at most this fraction of what is free
+    FREE_DIVISOR = 8       # of what is free where half is taken
 
     def __init__(self, limit: int):
         self.limit, self.used = limit, 0
@@ -92,7 +93,8 @@
 
     def has_room(self, size: int) -> bool:
         """Whether a call with a body of so many bytes may be admitted."""
-        return size <= (self.limit - self.used) // self.FREE_DIVISOR
+        free = self.limit - self.used
+        return size <= max(free // self.FREE_DIVISOR, free - self.limit // 2) or not self.used
 
     def take(self, call: str, size: int) -> None:
         """Counts the body of a call that is admitted."""
