Daemon: the body of a request is not held until its answer is written

Callers would see: 10,000 connections that each wait for a deferred call, up to 30 s, with a body of 1 MB that nothing uses, and 16 requests each, hold as many bodies, and neither the budget nor the calls under way count them. Found by reading.

Cause: an exchange referred to its body until its answer, and all before it, were written.

Change: it drops the body once the application has handled the request: a call has its own reference, which counts until it is answered. The test failed before: the whole body was held by a request that waits.

--- a/threadshift/invoke/http.py
+++ b/threadshift/invoke/http.py
@@ -181,6 +181,7 @@
         self.reset()                # or the body would be held twice
         self.exchanges.append(exchange)
         self.application.handle(exchange)
+        exchange.body = b""         # the application has taken what it needs; the answer may take long
 
     # The two greenlets.
 
