Daemon: a link that broke holds no frame in part

Cause: the decoder with a frame in part, 2 MB at most, stayed with the link of a worker that is gone until it was connected again, while the budget had forgotten it.

Change: the link drops it where it gives its bytes back. The test failed before: 900 KB held by a link that is down.

--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -169,6 +169,21 @@
             links = [live.front.links[f"w{number}"] for number in range(2)]
             self.assertTrue(all(link.up for link in links))
 
+    def test_a_link_that_broke_holds_no_frame_in_part(self):
+        """Guards against half frames that a link holds, uncounted, until it is connected again."""
+        def send_half(worker, sock, frames):
+            sock.sendall(encode("result", id=1, body=bytes(BODY))[:-1])
+            gevent.sleep(60)
+        worker = ScriptedWorker("w9", send_half)
+        with Live() as live:
+            live.extra.append(worker)
+            live.list("w9", worker.address)
+            until(lambda: "w9" in live.front.links and live.front.links["w9"].held_bytes() > BODY)
+            worker.sock.close()
+            worker.open[0].shutdown(socket.SHUT_RDWR)
+            until(lambda: not live.front.links["w9"].up)
+            self.assertEqual(live.front.links["w9"].held_bytes(), 0)
+
     def test_whoever_has_not_said_who_it_is_makes_a_peer_hold_little(self):
         """Guards against strangers that each announce a frame as long as a snapshot and send it but for its end."""
         peers = tuple(Peer(name, Address("127.0.0.1", free_port()), True) for name in ("a", "b"))
--- a/threadshift/links/link.py
+++ b/threadshift/links/link.py
@@ -205,6 +205,7 @@
                     self.send_refusal(problem)
             finally:
                 self.up = False
+                self.decoder = FrameDecoder(self.bounds.frame)      # a frame in part is of no use any more
                 self.owner.worker_budget.forget(self)
                 if writer is not None:
                     writer.kill()
