--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -1,6 +1,7 @@
 """What peers make the daemon hold stays within its memory, however many of them there are, and others are served."""
 import gc
 import json
+import tracemalloc
 import unittest
 import weakref
 from contextlib import closing, suppress
@@ -9,10 +10,11 @@
 import gevent
 from gevent import socket
 
-from tests.live import Live, ScriptedWorker, free_port, until
+from tests.live import Live, ScriptedWorker, Server, free_port, until
 from threadshift.conf.peering import Peer, PeersConfig
 from threadshift.conf.values import Address
 from threadshift.consensus.member import Timing
+from threadshift.discovery.sources import FeedSource
 from threadshift.gateway import memory_limit
 from threadshift.interface import SECOND
 from threadshift.invoke.requests import Response
@@ -184,11 +186,50 @@
             until(lambda: not live.front.links["w9"].up)
             self.assertEqual(live.front.links["w9"].held_bytes(), 0)
 
+    def check_nothing_is_held(self, sock, frame, is_handled):
+        """Sends a frame of BODY bytes and more, and checks that it is gone once it is handled."""
+        gc.collect()
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        before = tracemalloc.get_traced_memory()[0]
+        sock.sendall(frame)
+        until(is_handled)
+        self.assertLess(tracemalloc.get_traced_memory()[0] - before, BODY // 2)
+
+    def test_a_peer_s_message_is_not_held_until_the_next_one(self):
+        """Guards against the last message of each peer, up to a snapshot, that waits for more to arrive."""
+        peers = tuple(Peer(name, Address("127.0.0.1", free_port()), True) for name in ("a", "b"))
+        messages = []
+        owner = mock.Mock(on_message=lambda name, life, kind, fields: messages.append(kind))
+        listener = PeerListener(PeersConfig(peers, mock.Mock(), Timing(), SECOND), "a", 1, "digest", owner)
+        listener.start()
+        self.addCleanup(listener.stop)
+        with closing(socket.create_connection(tuple(peers[0].address)[:2])) as sock:
+            sock.sendall(encode("hello", version=VERSION, name="b", to="a", life=1, voters="digest"))
+            until(lambda: listener.connections)
+            frame = encode("record", hear="x", say={"data": bytes(BODY)})
+            with mock.patch("threadshift.peers.link.validate_message", lambda kind, say: say):
+                self.check_nothing_is_held(sock, frame, lambda: messages)
+
+    def test_a_list_of_the_feed_is_not_held_until_the_next_one(self):
+        """Guards against the last list of workers that waits for a change of them."""
+        lists = []
+        feed = Server()
+        self.addCleanup(feed.stop)
+        feed.converse = lambda sock: gevent.sleep(60)
+        listener = mock.Mock(on_list=lambda entries, full: lists.append(len(entries)))
+        source = FeedSource(feed.address, "f", mock.Mock(connect=SECOND, frame=2 << 20), listener, lambda: 0.5)
+        running = gevent.spawn(source.run)
+        self.addCleanup(running.kill)
+        until(lambda: feed.open)
+        workers = [{"worker": f"w{number}", "address": "127.0.0.1:1", "zone": "z" * 200} for number in range(5000)]
+        self.check_nothing_is_held(feed.open[0], encode("list", generation=1, workers=workers), lambda: lists)
+
     def test_whoever_has_not_said_who_it_is_makes_a_peer_hold_little(self):
         """Guards against strangers that each announce a frame as long as a snapshot and send it but for its end."""
         peers = tuple(Peer(name, Address("127.0.0.1", free_port()), True) for name in ("a", "b"))
         owner = mock.Mock()
-        listener = PeerListener(PeersConfig(peers, "", SECOND, Timing()), "a", 1, "digest", owner)
+        listener = PeerListener(PeersConfig(peers, mock.Mock(), Timing(), SECOND), "a", 1, "digest", owner)
         listener.start()
         self.addCleanup(listener.stop)
         with closing(socket.create_connection(tuple(peers[0].address)[:2])) as sock:
--- a/threadshift/discovery/sources.py
+++ b/threadshift/discovery/sources.py
@@ -65,9 +65,7 @@
             sock.settimeout(FEED_TIMEOUT / SECOND)
             decoder = FrameDecoder(self.bounds.frame)
             for data in read_chunks(sock, READ_SIZE):
-                for frame in self.unapplied.counted_down(decoder.feed(data)):
-                    self.handle_frame(frame)
-                self.unapplied.on_applied()
+                self.handle_frames(decoder.feed(data))
             return "closed by the feed"
         except (OSError, ProtocolError, InvalidWorkerList) as failed:
             return str(failed) or type(failed).__name__
@@ -76,6 +74,12 @@
             if sock is not None:
                 sock.close()
 
+    def handle_frames(self, frames: list[dict[str, Any]]) -> None:
+        """Handles frames that were read together. They are referred to in here alone, not while more is awaited."""
+        for frame in self.unapplied.counted_down(frames):
+            self.handle_frame(frame)
+        self.unapplied.on_applied()
+
     def handle_frame(self, frame: dict[str, Any]) -> None:
         """Passes on a list or changes. Raises ProtocolError or InvalidWorkerList."""
         if frame["kind"] in ("hello", "ping", "pong"):
--- a/threadshift/peers/link.py
+++ b/threadshift/peers/link.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import time
+from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from itertools import count
@@ -112,22 +113,26 @@
         """Reads the peer's hello, then its replies to queries, until the connection is closed."""
         sock.settimeout(CONNECT_TIMEOUT / SECOND)
         for data in read_chunks(sock, READ_SIZE):
-            for frame in frames.feed(data):
-                kind = frame["kind"]
-                if kind == "refused":
-                    raise ProtocolError(frame["reason"][:200])
-                if kind == "hello":
-                    if frame["name"] != self.peer.name:
-                        raise ProtocolError(f"{self.peer.name} was dialled, and {frame['name'][:64]!r} answers")
-                    self.is_up, self.problem = True, ""
-                    self.backoff.on_connected(time.monotonic_ns())
-                    self.wake.set()
-                    sock.settimeout(None)       # the consensus protocol detects silence, by missing heartbeats
-                elif kind == "reply":
-                    if (result := self.pending_queries.get(frame["id"])) is not None:
-                        result.set(frame["say"])
-                else:
-                    raise ProtocolError(f"'{kind}' is no reply")
+            self.handle_frames(sock, frames.feed(data))
+
+    def handle_frames(self, sock: socket.socket, frames: list[Frame]) -> None:
+        """Handles frames that were read together. They are referred to in here alone, not while more is awaited."""
+        for frame in frames:
+            kind = frame["kind"]
+            if kind == "refused":
+                raise ProtocolError(frame["reason"][:200])
+            if kind == "hello":
+                if frame["name"] != self.peer.name:
+                    raise ProtocolError(f"{self.peer.name} was dialled, and {frame['name'][:64]!r} answers")
+                self.is_up, self.problem = True, ""
+                self.backoff.on_connected(time.monotonic_ns())
+                self.wake.set()
+                sock.settimeout(None)       # the consensus protocol detects silence, by missing heartbeats
+            elif kind == "reply":
+                if (result := self.pending_queries.get(frame["id"])) is not None:
+                    result.set(frame["say"])
+            else:
+                raise ProtocolError(f"'{kind}' is no reply")
 
     def write(self, sock: socket.socket) -> None:
         try:
@@ -182,19 +187,12 @@
         try:
             sock.settimeout(IDLE_TIMEOUT / SECOND)
             for data in read_chunks(sock, READ_SIZE):
-                for frame in frames.feed(data):
-                    if not name:
-                        name, life = self.handshake(sock, frame)
-                        frames.max_length = MAX_FRAME_SIZE
-                    elif frame["kind"] == "record":
-                        self.owner.on_message(name, life, frame["hear"],
-                                              validate_message(frame["hear"], frame["say"]))
-                    elif frame["kind"] == "question":
-                        self.answer_query(sock, name, frame)
-                    elif frame["kind"] == "ping":
-                        self.owner.on_contact(name, life)
-                    else:
-                        raise ProtocolError(f"'{frame['kind']}' is not allowed from a peer")
+                received = deque(frames.feed(data))
+                if received and not name:
+                    name, life = self.handshake(sock, received.popleft())
+                    frames.max_length = MAX_FRAME_SIZE
+                while received:
+                    self.handle_frame(sock, name, life, received.popleft())
         except ProtocolError as problem:
             self.owner.note("peer-refused", peer=name, problem=str(problem))
             with suppress(OSError):
@@ -207,6 +205,17 @@
                 del self.connections[name]
             sock.close()
 
+    def handle_frame(self, sock: socket.socket, name: str, life: int, frame: Frame) -> None:
+        """Handles one frame of a peer that has said who it is. It is referred to in here alone."""
+        if frame["kind"] == "record":
+            self.owner.on_message(name, life, frame["hear"], validate_message(frame["hear"], frame["say"]))
+        elif frame["kind"] == "question":
+            self.answer_query(sock, name, frame)
+        elif frame["kind"] == "ping":
+            self.owner.on_contact(name, life)
+        else:
+            raise ProtocolError(f"'{frame['kind']}' is not allowed from a peer")
+
     def handshake(self, sock: socket.socket, frame: Frame) -> tuple[str, int]:
         """Checks and answers the peer's hello; returns its name and the life of its process. Raises ProtocolError."""
         if frame["kind"] != "hello" or frame["version"] != VERSION:
