Withdrawn frames no longer pile up behind one that is written slowly

Cause: a frame that is withdrawn, as its request has ended, left an empty entry in the queue until all before it was written. A worker that reads little, and so never counts as one that reads nothing, keeps a frame at the head for long, while each send given up behind it adds an entry of some 110 bytes that no bound counts. Found by reading, on the way of unread output.

Evidence: 20,000 frames withdrawn behind one: 20,001 entries, 2.2 MB, where the outbox counts the head alone.

Change: once empty entries are more than half, and over 64, they are removed; the first, which may be written in part, stays. The drawn histories of the outbox are played with removal at each step too. 5,001 entries before for 5,000 withdrawn frames, under 192 now.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,5 +1,6 @@
 import time
 import unittest
+from unittest import mock
 
 import gevent
 from gevent import socket
@@ -9,6 +10,7 @@
 from tests.live import Live, ScriptedWorker, until
 from threadshift.interface import MS, SECOND
 from threadshift.links.codec import LENGTH, VERSION, FrameDecoder, ProtocolError, encode
+from threadshift.links import outbox
 from threadshift.links.outbox import Outbox
 from threadshift.links.redial import MAX_PAUSE, MIN_PAUSE, STABLE_AFTER, ReconnectBackoff
 
@@ -67,6 +69,11 @@
         st.tuples(st.just("withdraw"), st.integers(0, 20))), max_size=60))
     def test_against_a_plain_list(self, acts):
         """A frame counts as never left exactly while none of its bytes are written; bytes keep their order."""
+        for min_removed in (0, outbox.MIN_REMOVED):
+            with mock.patch.object(outbox, "MIN_REMOVED", min_removed):
+                self.play(acts)
+
+    def play(self, acts):
         it, model, written, number = Outbox(200), [], b"", 0
         wanted = b""
         for act, what in acts:
@@ -96,6 +103,22 @@
             self.assertEqual(it.size, sum(len(frame) - done for _, frame, done in model))
 
 
+    def test_withdrawn_frames_do_not_pile_up_behind_one_that_is_written_slowly(self):
+        """Guards against entries of withdrawn frames that stay as long as a peer reads little, and count nowhere."""
+        for withdraw in (Outbox.withdraw, Outbox.hold_back):
+            it = Outbox(10_000)
+            it.put("first", b"x" * 1000)
+            it.wrote(1)
+            for number in range(5000):
+                it.put(number, b"y")
+                withdraw(it, number)
+            it.put("last", b"z")
+            self.assertLess(len(it.queue), 3 * outbox.MIN_REMOVED)
+            self.assertEqual((it.chunk(), it.size), (b"x" * 999 + b"z", 1000))
+            it.wrote(1000)
+            self.assertFalse(it.is_unsent("last"))
+
+
 class Backoff(unittest.TestCase):
     def test_pauses_double_to_a_limit_and_are_reset_after_a_stable_connection(self):
         it, now = ReconnectBackoff(lambda: 0.5), SECOND
--- a/threadshift/links/outbox.py
+++ b/threadshift/links/outbox.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 CHUNK_SIZE = 64 << 10      # bytes offered to the operating system at a time; more gains nothing on a socket
+MIN_REMOVED = 64           # withdrawn frames of which empty entries may stay in the queue, or as many as are not
 FRAME_OVERHEAD = 160       # bytes of memory that a queued frame takes beside its own
 
 
@@ -19,6 +20,7 @@
         self.max_size, self.size = max_size, 0
         self.queue: deque[list] = deque()           # [key, bytes]; the first may be written in part
         self.offset = 0                             # bytes of the first that are written
+        self.emptied = 0                            # entries of withdrawn frames since these were removed last
         self.unwritten: dict[Any, list] = {}        # by key, the entries of which no byte is written
         self.first_written_at: dict[Any, int] = {}  # by key, when the first byte was written, ns
 
@@ -43,15 +45,24 @@
         if entry is None:
             return False
         self.size -= len(entry[1])
-        entry[1] = b""      # the empty entry is skipped; removing it would move the others
+        entry[1] = b""      # the empty entry is skipped; to remove each at once would move the others
+        self.count_emptied()
         return True
 
+    def count_emptied(self) -> None:
+        """Removes the entries of withdrawn frames where they are more than half: a peer may read little for long."""
+        self.emptied += 1
+        if self.emptied > max(MIN_REMOVED, len(self.queue) // 2):
+            self.queue = deque(entry for number, entry in enumerate(self.queue) if number == 0 or entry[1])
+            self.emptied = 0
+
     def hold_back(self, key: Any) -> None:
         """Takes a frame of which no byte is written out of the queue. It stays known as not written."""
         entry = self.unwritten[key]
         self.size -= len(entry[1])
         entry[:] = None, b""
         self.unwritten[key] = [key, b""]
+        self.count_emptied()
 
     def replace(self, key: Any, frame: bytes) -> None:
         """Replaces a frame of which no byte is written."""
@@ -94,4 +105,4 @@
         self.queue.clear()
         self.unwritten.clear()
         self.first_written_at.clear()
-        self.size = self.offset = 0
+        self.size = self.offset = self.emptied = 0
