Names of tenants are bounded, as each pending request holds one

Cause: a tenant's name could be as long as all parameters, or headers, of a request, 16 KiB, and a pending request held it uncounted: 426 of them 7 MB on the platform, 4,096 of them 64 MB in the daemon. Found by reading, on the way of whole requests.

Change: the platform treats a name of over 256 characters as none, which decides as an unknown one does; the daemon refuses it with 400. Names in the daemon's configuration have 128 characters at most. Both tests failed before.

--- a/tests/test_fastcgi.py
+++ b/tests/test_fastcgi.py
@@ -71,6 +71,11 @@
                          (1500 * MS, 8_200_000, 2, 300_500_000, True))
         self.assertEqual(requests.parse_request(GOOD, b"", NAMES).call.lanes, 1)
 
+    def test_a_tenant_s_name_of_any_length_is_not_held_for_long(self):
+        """Guards against names of unknown tenants, as long as all parameters, that each pending request holds."""
+        for name, tenant in (("t" * 256, "t" * 256), ("t" * 257, "")):
+            self.assertEqual(requests.parse_request(GOOD | {b"HTTP_X_TEAM": name}, b"", NAMES).call.tenant, tenant)
+
     def test_invalid_parameters_are_refused(self):
         cases = [(name, None) for name in GOOD] + [
             (b"SCRIPT_NAME", "/ops/dance"), (b"SCRIPT_NAME", "repeatable"), (b"SCRIPT_NAME", "/ops/"),
--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -144,6 +144,11 @@
             until(lambda: held.used == taken + 1000)
             live.front.api.admitted_bytes.release("others")
 
+    def test_a_long_name_of_a_tenant_is_refused(self):
+        """Guards against names as long as all headers may be, that each call under way holds."""
+        with Live() as live:
+            self.assertEqual([live.call("f", Tenant="t" * length).status for length in (256, 257)], [200, 400])
+
     def test_bytes_of_a_call_count_until_it_is_answered_or_its_client_is_gone(self):
         with Live(memory_bytes=MEMORY) as live:
             self.assertEqual(live.call("f", bytes(1000)).status, 200)
--- a/threadshift/fastcgi/requests.py
+++ b/threadshift/fastcgi/requests.py
@@ -21,6 +21,7 @@
 MAX_WORK = 600 * SECOND        # a cost hint above this cannot come from this platform
 MAX_LANES = 1024               # calls that one copy runs at once; a copy has a few
 MAX_MEMORY_MB = 1 << 24        # of one copy
+MAX_TENANT_LENGTH = 256        # characters; a longer name counts as none, like one that the settings do not have
 MAX_SPEC_PARTS = 16            # of X-Spec in one request; the platform sends three
 PATH_PREFIX = "/ops/"
 ALIVE_PATH = "/alive"
@@ -118,9 +119,11 @@
     length = parameters.get(b"CONTENT_LENGTH", "")
     if length and (not length.isascii() or not length.isdigit() or int(length[:12]) != len(body)):
         raise InvalidRequest(400, f"CONTENT_LENGTH '{length[:40]}' does not match a body of {len(body)} bytes")
+    tenant = parameters.get(b"HTTP_X_TEAM", "")
     lanes, load = parse_spec(parameters.get(b"HTTP_X_SPEC", ""))
     return ParsedRequest(id_, Call(
-        type_.name, function, round(left * MS), body, parameters.get(b"HTTP_X_TEAM", ""), mark,
+        type_.name, function, round(left * MS), body,
+        tenant if len(tenant) <= MAX_TENANT_LENGTH else "", mark,
         round(work * MS), lanes, load, b"HTTP_X_AGAIN" in parameters))
 
 
--- a/threadshift/invoke/requests.py
+++ b/threadshift/invoke/requests.py
@@ -27,6 +27,7 @@
 BATCH_CANCEL_PATH = re.compile(rf"/v1/batches/{NAME_PATTERN}/cancel")
 CANCEL_RESTORE_PATH = re.compile(rf"/v1/cancels/{NAME_PATTERN}/restore")
 MAX_CACHED_NAMES = 10_000
+MAX_TENANT_LENGTH = 256                   # characters
 PROBLEM_TYPE_PREFIX = "urn:threadshift:problem:"     # a URN need not resolve to a page (RFC 9457, section 3.1.1)
 
 Headers = list[tuple[str, str]]
@@ -118,6 +119,8 @@
     if type_.effect is Effect.DEDUPLICATED and not mark:
         raise Problem(400, "bad-request", f"calls of type {type_.name} require an Idempotency-Key", "Idempotency-Key")
     tenant = headers.get("tenant", "")
+    if len(tenant) > MAX_TENANT_LENGTH:
+        raise Problem(400, "bad-request", f"Tenant must have at most {MAX_TENANT_LENGTH} characters", "Tenant")
     if tenant and tenants and tenant not in (each.name for each in tenants):
         raise Problem(403, "no-such-tenant", f"tenant {tenant[:64]!r} is not configured", "Tenant")
     repetition = headers.get("repetition", "?0")
