--- a/threadshift/fastcgi/activation_shares.py
+++ b/threadshift/fastcgi/activation_shares.py
@@ -16,7 +16,8 @@
 def may_admit(own: int, pending: int, limit: int, connections: int) -> bool:
     """Whether a connection with `own` pending requests may have one more, of `limit` in all.
 
-    `pending` is the number of all pending requests, `connections` that of the connections which have any."""
+    `pending` is the number of all pending requests, `connections` that of the connections with requests that are
+    pending or being read."""
     if pending >= limit:
         return False
     if is_ample(pending, limit):
--- a/threadshift/node/front.py
+++ b/threadshift/node/front.py
@@ -245,6 +245,7 @@
     def state(self) -> dict[str, Any]:
         """Counts and sizes, as the fields of one log line."""
         dispatcher, now = self.engine.dispatcher, time.monotonic_ns()
+        self.listener.memory_budget.measure()       # what was written since the last report is held no more
         workers = dispatcher.workers.values()
         return {"owed": self.engine.owed, "held": len(self.engine.requests),
                 "connections": len(self.listener.connections),
