--- a/review/parts2.py
+++ b/review/parts2.py
@@ -1,7 +1,8 @@
 """Stand-ins of the second review: coordinator, workers, clients, and a front end as a process of its own.
 
-Written from the users' protocol page. Standard library only; everything listens on free ports of 127.0.0.1. All
-stand-ins of a case run in the process of its script; a front end is started with the `run` line of the deploy file.
+Written from the users' protocol page and, for the gateway, from docs/worker-protocol.md. Nothing beyond the standard
+library and the packages of the deploy file's build; everything listens on free ports of 127.0.0.1. All stand-ins of a
+case run in the process of its script; a front end is started with the `run` line of the deploy file.
 """
 from __future__ import annotations
 
@@ -21,6 +22,8 @@
 import zlib
 from pathlib import Path
 
+import msgpack
+
 ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
@@ -381,7 +384,8 @@
 
     def finish(self, number, protocol_status):
         head, _, body = b"".join(self.parts.pop(number, [])).partition(b"\r\n\r\n")
-        answer = self.open.pop(number)
+        if (answer := self.open.pop(number, None)) is None:
+            return                      # it was aborted, and this crossed the abort
         self.numbers.append(number)
         if protocol_status:
             answer.end("503")
@@ -471,6 +475,134 @@
                 and (each := json.loads(line)).get("event") in names]
 
 
+# The gateway, and workers that speak its protocol.
+
+LENGTH = struct.Struct(">I")
+
+
+def packed(kind, **fields):
+    content = msgpack.packb({"kind": kind, **fields})
+    return LENGTH.pack(len(content)) + content
+
+
+class GatewayWorker:
+    """A sound worker of the gateway: has every function loaded, runs calls, and drops repeats of the mark of a call
+    for `span_s` from when it first got it. While it is cut off it reads and writes nothing."""
+
+    def __init__(self, name, work_s=0.05, span_s=5.0):
+        self.name, self.work_s, self.span_s = name, work_s, span_s
+        self.marks, self.runs, self.cut_until = {}, [], 0.0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.converse, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def stop(self):
+        self.server.close()
+
+    def cut_off(self, seconds):
+        self.cut_until = time.time() + seconds
+        RECORD.add("cut-off", worker=self.name, seconds=seconds)
+
+    async def reachable(self):
+        while (left := self.cut_until - time.time()) > 0:
+            await asyncio.sleep(left)
+
+    async def converse(self, reader, writer):
+        try:
+            while True:
+                await self.reachable()
+                length, = LENGTH.unpack(await reader.readexactly(LENGTH.size))
+                got = msgpack.unpackb(await reader.readexactly(length))
+                await self.reachable()
+                if got["kind"] == "hello":
+                    writer.write(packed("hello", version=1, name=self.name, started=0, zone="hall-b", size=1.0,
+                                        draining=False))
+                elif got["kind"] == "ping":
+                    writer.write(packed("pong"))
+                elif got["kind"] == "hold":
+                    writer.write(packed("held", id=got["id"], outcome="stands", copies=1))
+                elif got["kind"] == "invoke":
+                    asyncio.ensure_future(self.invoke(writer, got))
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            writer.close()
+
+    async def invoke(self, writer, got):
+        mark, now = got.get("mark", ""), time.time()
+        RECORD.add("arrives", worker=self.name, mark=mark, effect=got["effect"], activation=got["activation"])
+        if mark and now - self.marks.get(mark, 0.0) < self.span_s:
+            RECORD.add("repeat-dropped", worker=self.name, mark=mark)
+        else:
+            self.marks[mark] = now
+            await asyncio.sleep(self.work_s)
+            RECORD.add("ran", worker=self.name, mark=mark, activation=got["activation"])
+            self.runs.append(mark)
+            self.after_run()
+        await self.reachable()
+        if not writer.is_closing():
+            writer.write(packed("result", id=got["id"], body=b"filed", copy="found"))
+
+    def after_run(self):
+        """Called when a call has run and before its answer is written."""
+
+
+class Gateway:
+    """The gateway with one front end, started as docs/operate/front-end.md says."""
+
+    def __init__(self, scratch, workers, conf):
+        """`conf` is the text of the configuration, with places for port, roster, folder and peer."""
+        self.port, self.log, self.conf = free_port(), scratch / "gateway.log", scratch / "threadshift.conf"
+        roster, folder = scratch / "workers", scratch / "state"
+        folder.mkdir()
+        roster.write_text("".join(f"worker {each.name} 127.0.0.1:{each.port} zone hall-b\n" for each in workers))
+        self.conf.write_text(conf.format(port=self.port, roster=roster, folder=folder, peer=free_port()))
+
+    async def start(self):
+        with open(self.log, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                ".venv/bin/python", "-m", "threadshift", "run", str(self.conf), cwd=ROOT, stdout=log, stderr=log,
+                stdin=asyncio.subprocess.DEVNULL, env=os.environ | {"TMPDIR": str(self.conf.parent)})
+        RECORD.add("gateway-started")
+        return self
+
+    async def stop(self):
+        """SIGTERM: the supervisor ends its front end before itself."""
+        if self.process.returncode is None:
+            self.process.terminate()
+            await self.process.wait()
+
+    async def request(self, method, path, headers=(), body=b""):
+        """(status, body) of one request on a connection of its own. Raises OSError where there is no whole answer."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        fields = {"Host": "127.0.0.1", "Connection": "close", "Content-Length": len(body), **dict(headers)}
+        lines = [f"{method} {path} HTTP/1.1", *(f"{name}: {value}" for name, value in fields.items()), "", ""]
+        try:
+            writer.write("\r\n".join(lines).encode() + body)
+            head, separator, content = (await reader.read()).partition(b"\r\n\r\n")
+        finally:
+            writer.close()
+        if not separator:
+            raise ConnectionError("closed without an answer")
+        return int(head.split()[1]), content
+
+    async def deferred_call(self, path, headers, body=b"12 units"):
+        """Makes a deferred call as soon as the gateway takes one; returns its activation."""
+        for _ in range(200):       # 503 until the front end has a worker and, with peers, has joined its record
+            try:
+                status, content = await self.request("POST", path, {"Prefer": "respond-async", **headers}, body)
+            except OSError:
+                status = 0
+            if status == 202:
+                activation = json.loads(content)["activation"]
+                RECORD.add("accepted", activation=activation)
+                return activation
+            await asyncio.sleep(0.1)
+        raise CannotRun("the gateway took no call within 20 s")
+
+
 def play(case, folder):
     """Runs the coroutine case(scratch folder, list of what to end); it returns (rule held, what was seen)."""
     here = Path(folder).resolve()
