The ration of load orders holds over restarts, in every span of the window

The front end had ordered 24 loads, was killed, and its next process ordered one more.

Cause: a process that started counted the free orders of the window as given and no more, while the process before may have given the share of its calls too. Those orders outlast the calls that allowed them.

Mend: load_ration.py keeps the ration in each span within the window that ends with an order, not for the window alone. A process thus leaves its successor no more than the free orders, and in its first window orders what its own calls bring: the sum over any restarts in a row is within the ration, whatever the process before gave, and loading does not stand still. engine/previous_process is gone. A withdrawn call is no longer searched for in all of the window.

Two tests of choice.py expected that orders for calls of earlier seconds may all be given at once, which is the cause of the fault. They now order while the calls come, with the same totals, and state the burst as well; the tests of previous_process moved to test_load_ration.py, with later starts in a row.

--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -12,6 +12,7 @@
 from threadshift.audit.rules import SLACK, breaches
 from threadshift.engine.engine import RequestEngine
 from threadshift.interface import MS, SECOND, Deployment, Outcome
+from threadshift.load_ration import LoadRation
 
 DEPLOYMENT = Deployment((), drain_grace=SECOND, cold_share=0.2, cold_time=10 * SECOND, fall_multiple=2.0,
                         fall_time=SECOND, load_window=5 * SECOND, load_free=2, load_ratio=0.2)
@@ -222,7 +223,7 @@
         window = dict(load_window=5 * SECOND, load_free=1, load_ratio=0.1)
 
         def unlimited(live):
-            live.front.engine.dispatcher.load_free = 1e9
+            live.front.engine.dispatcher.load_ration = LoadRation(0, 0.0, 0.0)
             live.front.engine.dispatcher.load_limit = live.front.engine.dispatcher.max_loads = 1e9
 
         def run(live, client):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -201,37 +201,49 @@
         front.update_workers(0, [listing(f"later{n}") for n in range(5)], full=True)
         self.assertEqual({serve(front, f"fn{n}", ivk=f"c{n}")[:5] for n in range(30)}, {"later"})
 
+    @staticmethod
+    def order_wherever_allowed(front, now):
+        """Orders loads of one function at as many workers as the ration allows; returns how many."""
+        ordered = 0
+        for worker in front.ready_workers:
+            front.functions["f"].next_order_at = 0
+            ordered += front.order_load(worker, front.functions["f"], now)
+        return ordered
+
     def test_calls_withdrawn_by_their_clients_earn_no_load_orders(self):
         # Hundreds of calls that clients withdrew at once counted as well: 23 load orders where 316 calls counted.
         for withdrawn, answered, allowed in ((0, 0, 22), (300, 0, 7), (300, 300, 22), (400, 0, 2)):
             front = front_end(40, load_window=5 * SECOND, load_free=2, load_ratio=0.05)
             front.load_limit = 1000.0
-            activations = [front.admit(SECOND + n, str(n), REPEATABLE.value, "f", 3 * SECOND) for n in range(400)]
-            for activation in activations[:answered]:
-                front.finish(activation, Action.REJECT)        # those with an answer count like any other
-            for activation in activations[:withdrawn]:
-                activation.on_client_gone(2 * SECOND)
-            ordered = 0
-            for worker in front.ready_workers:
-                front.functions["f"].next_order_at = 0
-                ordered += front.order_load(worker, front.functions["f"], 2 * SECOND)
+            front.admit(SECOND, "first", REPEATABLE.value, "f", 3 * SECOND).on_client_gone(SECOND)
+            ordered = self.order_wherever_allowed(front, SECOND)        # the free ones; the calls earn the others
+            for first in range(0, 400, 20):
+                activations = [front.admit(SECOND + n, str(n), REPEATABLE.value, "f", 3 * SECOND)
+                               for n in range(first, first + 20)]
+                for n, activation in enumerate(activations, start=first):
+                    if n < answered:
+                        front.finish(activation, Action.REJECT)        # those with an answer count like any other
+                    if n < withdrawn:
+                        activation.on_client_gone(2 * SECOND)
+                ordered += self.order_wherever_allowed(front, 2 * SECOND)
             self.assertEqual(ordered, allowed, (withdrawn, answered))
 
     def test_load_orders_at_the_limit_of_the_window(self):
-        # free orders, ratio, activations admitted in the window, orders allowed
-        for free, ratio, admitted, allowed in ((6, 0.2, 0, 6), (6, 0.2, 5, 7), (0, 0.2, 4, 0), (0, 0.2, 5, 1)):
+        # free orders, ratio, activations admitted in the window, orders allowed: at once, and in all
+        for free, ratio, admitted, burst, allowed in (
+                (6, 0.2, 0, 6, 6), (6, 0.2, 5, 6, 7), (6, 0.2, 40, 6, 14), (0, 0.2, 4, 0, 0), (0, 0.2, 5, 1, 1),
+                (0, 0.2, 10, 1, 2)):
             front = front_end(40, load_window=5 * SECOND, load_free=free, load_ratio=ratio)
             front.load_limit = 1000.0
+            front.admit(SECOND, "first", REPEATABLE.value, "f", SECOND).on_client_gone(SECOND)
             for n in range(admitted):
-                activation = front.admit(SECOND, f"c{n}", REPEATABLE.value, "f", SECOND)
-                activation.on_client_gone(SECOND)
-            call(front, function="g")
-            front.recent_admissions.clear()
-            front.recent_admissions.extend([SECOND] * admitted)
-            ordered = 0
-            for worker in front.ready_workers:
-                front.functions["g"].next_order_at = 0
-                ordered += front.order_load(worker, front.functions["g"], 2 * SECOND)
+                front.admit(SECOND, str(n), REPEATABLE.value, "f", SECOND)
+            ordered = self.order_wherever_allowed(front, 2 * SECOND)
+            self.assertEqual(ordered, burst, (free, ratio, admitted))
+            ordered = self.order_wherever_allowed(front, 8 * SECOND)    # what is above has left the window
+            for n in range(admitted):
+                front.admit(8 * SECOND, f"b{n}", REPEATABLE.value, "f", SECOND)
+                ordered += self.order_wherever_allowed(front, 8 * SECOND)
             self.assertEqual(ordered, allowed, (free, ratio, admitted))
 
     def test_one_final_answer_whatever_happens(self):
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -5,10 +5,9 @@
 
 from tests.helpers import deployment, listing
 from threadshift.choice import NEVER_RAN, Dispatcher
-from threadshift.engine import previous_process
 from threadshift.engine.engine import MIN_PRUNED_DEADLINES, Answer, Call, FinalKind, RequestEngine
 from threadshift.interface import (
-    MS, SECOND, Copy, Deployment, Effect, NamespaceType, Outcome, WorkerListing, WorkerState)
+    MS, SECOND, Copy, Effect, Outcome, WorkerState)
 
 TIME_LEFT = 2500 * MS
 
@@ -345,26 +344,5 @@
         self.assertEqual(*logs)
 
 
-class PreviousProcess(unittest.TestCase):
-    def test_the_free_orders_of_the_window_count_as_given_at_a_start(self):
-        windowed = Deployment((NamespaceType("a", SECOND, SECOND, 1.0, 0.0, Effect.REPEATABLE),),
-                              may_order_loads=True, load_window=5 * SECOND, load_free=6.0, load_ratio=0.2)
-        for now, most in ((SECOND, 0), (5 * SECOND, 0), (6 * SECOND, 6)):
-            it = Dispatcher(1, windowed, SECOND)
-            previous_process.count_free_orders_as_given(it, windowed, SECOND)
-            it.update_workers(SECOND, [WorkerListing("w", WorkerState.READY)], True)
-            given = 0
-            for n in range(9):
-                fn = it.admit(now, str(n), "a", f"f{n}", SECOND).function
-                it.open_load_orders, it.load_limit = 0, 99.0      # only the window limits orders then
-                given += it.order_load(it.workers["w"], fn, now)
-            # The nine admitted calls earn 1.8 further orders.
-            self.assertLessEqual(given, most + 1)
-            self.assertGreaterEqual(given, most)
-        it = Dispatcher(1, windowed._replace(load_window=0), SECOND)
-        previous_process.count_free_orders_as_given(it, windowed._replace(load_window=0), SECOND)
-        self.assertFalse(it.recent_load_orders)
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -131,7 +131,7 @@
             since = time.monotonic_ns()
             client.ask(left=str(LEFT_MS))
             self.assertEqual(client.answer()[0], 200)
-            paused_ms = (it.node.engine.dispatcher.recent_admissions[-1] - since) // MS
+            paused_ms = (it.node.engine.dispatcher.load_ration.admissions[-1].at - since) // MS
             self.assertGreater(paused_ms, 2 * poll_monitor.CATCH_UP_TIME // MS)
             frame, = it.workers[0].frames_with(INVOKE)
             self.assertLessEqual(int(frame.fields["wait"]), LEFT_MS - paused_ms + 1)
--- a/threadshift/adapter/host.py
+++ b/threadshift/adapter/host.py
@@ -38,6 +38,8 @@
     def __init__(self, number: int, start: FieldReader, now: int):
         self.number = number
         self.dispatcher = Dispatcher(start.whole("entropy"), parse_deployment(start), now)
+        if now:                     # not the first start of the day
+            self.dispatcher.load_ration.assume_predecessor(now)
         self.activations: dict[str, object] = {}    # without an answer, or with open sends
         self.reminder_handle = 0
         self.reminder: int | None = None            # when the reminder is due
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -20,6 +20,7 @@
 from threadshift.interface import (
     MS, SECOND, Action, Activation, Copy, Deployment, Effect, Outcome, Report, Send, Step, WorkerListing,
     WorkerState)
+from threadshift.load_ration import LoadRation
 from threadshift.ring import HashRing, pair_of_points
 from threadshift.state import CountMinSketch, DispatcherState, Function, TypeStats, Worker, Zone
 
@@ -134,11 +135,10 @@
         self.prune_timers_at = MIN_PRUNED_TIMERS
         self.max_functions = min(MAX_FUNCTIONS, deployment.max_functions or MAX_FUNCTIONS)
         self.max_retry_after, self.loads_on_miss = deployment.max_retry_after, deployment.loads_on_miss
-        self.load_window, self.load_ratio = deployment.load_window or 1, deployment.load_ratio
+        self.may_order_loads, self.load_ration = deployment.may_order_loads, LoadRation(
+            deployment.load_window, deployment.load_free, deployment.load_ratio)
         # The lower bound of the load limit while the store is crowded.
         self.min_load_limit = min(1.0, max(MIN_LOADS_WHEN_CROWDED, LOADS_PER_WORKER / deployment.front_ends))
-        self.load_free = -1.0 if not deployment.may_order_loads else (
-            deployment.load_free if deployment.load_window else float("inf"))
         self.cold_share, self.cold_time, self.fall_time = (
             deployment.cold_share, deployment.cold_time, deployment.fall_time)
         self.cold_factor = deployment.fall_multiple * deployment.fall_time / COMPLETION_WINDOW
@@ -299,9 +299,6 @@
             for worker in self.workers.values():
                 worker.warm_until = {name: until for name, until in worker.warm_until.items() if until > now}
         self.sketch.add(function.sketch_cells)
-        self.recent_admissions.append(now)
-        # Drops the times that have expired: load orders may be rare, and the times would pile up until one.
-        self.count_recent(self.recent_admissions, now)
         type_stats = self.types[type_name]
         if cost_hint:
             type_stats.mean_cost_hint += (
@@ -314,7 +311,8 @@
         self.update_spread(function, type_stats, now)
         activation = Activation(
             self, activation_id, type_stats, function, now, now + max(0, time_left - self.deadline_margin),
-            cost_hint, is_client_retry or self.exceeds_share(tenant, now), function.turn)
+            cost_hint, is_client_retry or self.exceeds_share(tenant, now), function.turn,
+            self.load_ration.record_admission(now))
         heapq.heappush(self.timers, (activation.answer_due, self.next_serial(), activation))
         if len(self.timers) >= self.prune_timers_at:
             self.prune_timers()
@@ -600,27 +598,20 @@
         return loads < limit if limit >= 1 else (
             not loads and now - self.last_load_at >= self.typical_load_time * (1 / limit - 1))
 
-    def count_recent(self, times: deque[int], now: int) -> int:
-        """Drops the times before the load window and counts the others."""
-        while times and times[0] <= now - self.load_window:
-            times.popleft()
-        return len(times)
-
     def order_load(self, worker: Worker, function: Function, now: int) -> bool:
         """Orders a load of the function at the worker, if that is allowed; the only place that does.
 
         Load orders are rationed by the deployment's window, paced by the load limit, and limited to one at a
         time for a function."""
-        max_orders = self.load_free + self.load_ratio * self.count_recent(self.recent_admissions, now)
-        if not worker.ready or function.next_order_at > now or function.name in worker.load_orders or (
-                not self.may_load(now, EXTRA_COPY_SHARE)) or (
-                self.count_recent(self.recent_load_orders, now) + 1 > max_orders):
+        if not self.may_order_loads or not worker.ready or function.next_order_at > now or (
+                function.name in worker.load_orders) or not self.may_load(now, EXTRA_COPY_SHARE) or (
+                not self.load_ration.may_order(now)):
             return False
         worker.load_orders.add(function.name)
         self.workers_with_orders[worker] = None
         function.next_order_at = now + int(function.load_time or self.typical_load_time)
         self.open_load_orders, self.last_load_at = self.open_load_orders + 1, now
-        self.recent_load_orders.append(now)
+        self.load_ration.record_order(now)
         self.pending_steps.append(Step(Action.LOAD, worker=worker.name, function=function.name, amount=1))
         return True
 
@@ -719,8 +710,8 @@
 
         Its activation no longer counts towards load orders: hundreds withdrawn at once would raise the number
         that may be ordered."""
-        if not activation.answered and activation.admitted_at in self.recent_admissions:
-            self.recent_admissions.remove(activation.admitted_at)
+        if not activation.answered:
+            self.load_ration.withdraw(activation.admission)
         self.finish(activation, None)
 
     def finish(self, activation: Activation, action: Action | None) -> None:
--- a/threadshift/emulator/front.py
+++ b/threadshift/emulator/front.py
@@ -15,7 +15,6 @@
 
 from threadshift.choice import Dispatcher
 from threadshift.days.fault_scenario import FaultScenario
-from threadshift.engine import previous_process
 from threadshift.engine.engine import PendingWorkerQuery, Call, PendingRequest, RequestEngine
 from threadshift.emulator.clock import Clock
 from threadshift.emulator.network import Network
@@ -47,7 +46,7 @@
         dispatcher = policy(generator.getrandbits(63), deployment, clock.now)
         if hasattr(dispatcher, "set_network"):
             dispatcher.set_network(network)         # a policy for comparison that knows the true state of the workers
-        previous_process.count_free_orders_as_given(dispatcher, deployment, clock.now)
+        dispatcher.load_ration.assume_predecessor(clock.now)
         self.engine = RequestEngine(dispatcher, self, self, day.config.bounds.load_order)
         self.registry = WorkerRegistry(deployment.drain_grace)
         self.deliver_answer, self.deliver_refusal = answered, refuse
--- a/threadshift/gateway/front_end.py
+++ b/threadshift/gateway/front_end.py
@@ -25,7 +25,6 @@
 from threadshift.conf.values import Address
 from threadshift.discovery.registry import WorkerEntry, WorkerRegistry
 from threadshift.discovery.sources import FeedSource, WatchedFile
-from threadshift.engine import previous_process
 from threadshift.engine.engine import RequestEngine
 from threadshift.errors import ThreadshiftError
 from threadshift.gateway.admin import Admin
@@ -87,7 +86,7 @@
                              AdmittedBytes(memory // CALLS_DIVISOR // COPIES_OF_A_BODY))
         self.poll_monitor, self.api.read_updates = self.api.poll_monitor, self.read_updates
         dispatcher = Dispatcher(generator.getrandbits(63), config.deployment, now)
-        previous_process.count_free_orders_as_given(dispatcher, config.deployment, now)
+        dispatcher.load_ration.assume_predecessor(now)
         self.engine = self.api.engine = RequestEngine(dispatcher, self, self.api, bounds.load_order)
         self.listeners: list[socket.socket] = []
         self.connections = Group()
--- a/threadshift/interface.py
+++ b/threadshift/interface.py
@@ -168,6 +168,7 @@
     cost_hint: int               # ns; 0: none
     low_priority: bool           # a client's retry, or beyond its tenant's share
     turn: int                    # of its function's round-robin
+    admission: Any               # what it brings to the ration of load orders
     probe_count: int = 0         # workers probed on its account
     awaited_worker: Any = None   # the worker whose report it waits for
     sends: list[Send] = field(default_factory=list)
--- a/threadshift/node/front.py
+++ b/threadshift/node/front.py
@@ -18,7 +18,6 @@
 from threadshift.conf.settings import InvalidInput
 from threadshift.coordinator.events import ListUpdate
 from threadshift.coordinator.stream import CoordinatorStream
-from threadshift.engine import previous_process
 from threadshift.engine.engine import RequestEngine
 from threadshift.fastcgi.listener import FastCgiListener
 from threadshift.frames import pool
@@ -66,7 +65,7 @@
             MemoryBudget(config.client_bytes))
         self.poll_monitor, self.worker_budget = self.listener.poll_monitor, MemoryBudget(config.worker_bytes)
         dispatcher = Dispatcher(rng.getrandbits(63), config.deployment, now)
-        previous_process.count_free_orders_as_given(dispatcher, config.deployment, now)
+        dispatcher.load_ration.assume_predecessor(now)
         self.engine = self.listener.engine = RequestEngine(dispatcher, self, self.listener, config.load_timeout)
         self.coordinator = CoordinatorStream(config.coordinator, self.on_list_update, self.on_coordinator_lost,
                                              self.note, self.chance)
--- a/threadshift/state.py
+++ b/threadshift/state.py
@@ -143,8 +143,6 @@
     mean_cost: float = 0.0       # of an activation, over all types
     mean_reported_load: float = 0.0  # activations at a worker of mean size, by reports
     pressure_share: float = 0.25     # share of recent reports that showed pressure
-    recent_admissions: deque[int] = field(default_factory=deque)    # times within the load window
-    recent_load_orders: deque[int] = field(default_factory=deque)   # times within the load window
     open_load_orders: int = 0    # load orders without an answer yet
     workers_with_orders: dict[Worker, None] = field(default_factory=dict)   # workers with open load orders
     open_cold_sends: int = 0     # open sends to workers that were believed to have no copy
