Daemon: one process of a front end orders loads at a time while versions are swapped

In a swap of versions the new process starts beside the old one, and each kept the ration of load orders for itself. A window after its start the new one gave the free orders while those of the old one, which drained, still counted.

Cause: the new process took the old one to have ended at its own start.

Evidence: a play of both breaks the ration where the old one goes on and the new one counts from its start.

Mend: a front end that is told to end orders no more loads; one that replaces a running process orders none until 1 s after it is ready, by when the supervisor has told the old one to end, and counts its first window from then.

--- a/tests/live.py
+++ b/tests/live.py
@@ -96,7 +96,7 @@
     """A context manager that runs a gateway, its workers and its other stand-ins, and ends all of them."""
 
     def __init__(self, workers=2, fleet="", bounds="", load_ms=20, work_ms=2, records=None, host="127.0.0.1",
-                 extra="", memory_bytes=None, **machine):
+                 extra="", memory_bytes=None, replaces_running=False, **machine):
         self.log, self.records = RecordingLog(), records
         self.feed = RosterFeed(ANY, self.record("roster"))
         self.store = PackStore(ANY, 8, work_ms, 100, load_ms, Record(None))
@@ -109,7 +109,8 @@
         self.host = host
         self.config = read_text(CONF.format(host=host, port=self.port, feed=self.feed.address, fleet=fleet,
                                             bounds=bounds, extra=extra))
-        self.front = FrontEnd(self.config, 0, self.log, seed=1, memory_bytes=memory_bytes)
+        self.front = FrontEnd(self.config, 0, self.log, seed=1, memory_bytes=memory_bytes,
+                              replaces_running=replaces_running)
         self.running = None
         self.extra = []
 
--- a/tests/test_load_ration.py
+++ b/tests/test_load_ration.py
@@ -1,11 +1,14 @@
 """The ration of load orders: within the window, and over restarts in a row whatever the processes before gave."""
+import time
 import unittest
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from tests.helpers import deployment, listing
+from tests.live import Live
 from threadshift.choice import Dispatcher
+from threadshift.gateway.front_end import TAKEOVER_TIME
 from threadshift.interface import MS, SECOND, Effect
 from threadshift.load_ration import LoadRation
 
@@ -127,6 +130,35 @@
         ration.assume_predecessor(0)
         self.assertFalse(ration.orders)
 
+    def test_a_process_beside_the_one_that_it_replaces_orders_nothing_until_that_one_stops(self):
+        """Guards against two processes of one front end that both give its free orders while versions are swapped."""
+        front = FrontEndOrders(self, 6, 0.2)
+        old, new = front.ration, LoadRation(WINDOW, 6, 0.2)
+        stops_at = front.now + SECOND
+        new.assume_predecessor(stops_at)
+        for _ in range(800):
+            front.now += 10 * MS
+            if front.now >= stops_at:
+                old.stop()
+            for front.ration in (old, new):
+                front.admit()
+                while front.order():
+                    self.assertEqual(front.now < stops_at, front.ration is old)
+        self.assertGreater(front.orders[-1], stops_at + WINDOW)
+
+    def test_a_front_end_of_the_daemon_that_ends_orders_no_more_and_the_next_one_waits_for_that(self):
+        """Guards against free orders given by both processes of a swap of versions."""
+        with Live() as live:
+            ration = live.front.engine.dispatcher.load_ration
+            self.assertLessEqual(ration.predecessor_ended_at, live.front.started_at)
+            self.assertFalse(ration.is_stopped)
+            live.front.end()
+            self.assertTrue(ration.is_stopped)
+        with Live(replaces_running=True) as live:
+            ration, now = live.front.engine.dispatcher.load_ration, time.monotonic_ns()
+            self.assertLess(now, ration.predecessor_ended_at)
+            self.assertLessEqual(ration.predecessor_ended_at, now + TAKEOVER_TIME)
+
     def test_the_decisions_keep_to_it(self):
         """Guards against load orders that a new process gives from the free ones of the process before."""
         calls = 9
--- a/threadshift/cli/front_end.py
+++ b/threadshift/cli/front_end.py
@@ -40,7 +40,7 @@
             os.write(ready_fd, b"r")
             os.close(ready_fd)
 
-    front = FrontEnd(config, index, log, seed, disk, version, ready)
+    front = FrontEnd(config, index, log, seed, disk, version, ready, replaces_running=ready_fd >= 0)
     garbage_collection.freeze_startup_objects()
 
     def end_with_parent() -> None:
--- a/threadshift/gateway/front_end.py
+++ b/threadshift/gateway/front_end.py
@@ -45,10 +45,11 @@
 from threadshift.log import Log, exception_fields
 from threadshift.memory_budget import CALLS_DIVISOR, CLIENTS_DIVISOR, WORKERS_DIVISOR, AdmittedBytes, MemoryBudget
 from threadshift.storage.journal import JournalInUse
-from threadshift.timer import ticks
+from threadshift.timer import NEVER, ticks
 
 COPIES_OF_A_BODY = 3                 # of a pending call: its client's, in a frame to a worker, and as it is packed
 TAKEOVER_RETRY_INTERVAL = 50 * MS    # between tries to open what the front end that is replaced still holds
+TAKEOVER_TIME = SECOND               # after it is ready, until the front end that it replaces orders no more loads
 OPEN_RETRY_FACTOR = 20               # times that interval, after errors that do not come from a takeover
 EVICTION_WAIT = 2 * MS               # for connections that make room to end: two iterations of the event loop
 # Connections of operators have a limit of their own, so that clients cannot use them up; a single operator does not
@@ -63,8 +64,10 @@
     """Connects the request engine with clients, workers and peers; owns every greenlet of the process."""
 
     def __init__(self, config: GatewayConfig, index: int, log: Log, seed: int | None = None, disk: Any = None,
-                 version: str = "", ready: Callable[[], None] = lambda: None, memory_bytes: int | None = None):
-        """`version` names the rollouts that it runs with; ready() is called once it serves.
+                 version: str = "", ready: Callable[[], None] = lambda: None, memory_bytes: int | None = None,
+                 replaces_running: bool = False):
+        """`version` names the rollouts that it runs with; ready() is called once it serves. With `replaces_running`
+        another process of this front end goes on until then.
 
         `memory_bytes` is what this process may use; by default its part of what the machine allows."""
         super().__init__(WorkerRegistry(config.deployment.drain_grace), log)
@@ -86,7 +89,8 @@
                              AdmittedBytes(memory // CALLS_DIVISOR // COPIES_OF_A_BODY))
         self.poll_monitor, self.api.read_updates = self.api.poll_monitor, self.read_updates
         dispatcher = Dispatcher(generator.getrandbits(63), config.deployment, now)
-        dispatcher.load_ration.assume_predecessor(now)
+        self.replaces_running = replaces_running
+        dispatcher.load_ration.assume_predecessor(NEVER if replaces_running else now)
         self.engine = self.api.engine = RequestEngine(dispatcher, self, self.api, bounds.load_order)
         self.listeners: list[socket.socket] = []
         self.connections = Group()
@@ -222,13 +226,18 @@
         if self.config.peering is not None:
             self.greenlets.spawn(self.join_peers)
         self.ready()
+        if self.replaces_running:
+            self.engine.dispatcher.load_ration.assume_predecessor(time.monotonic_ns() + TAKEOVER_TIME)
         self.note("started", listen=[str(each) for each in self.config.listen], pid=os.getpid())
         self.run_timer(lambda: self.ending)
         self.drain()
 
     def end(self) -> None:
-        """Asks run() to drain and return. May be called from any greenlet or signal handler."""
+        """Asks run() to drain and return. May be called from any greenlet or signal handler.
+
+        From here on no loads are ordered, as a process that takes over counts on it."""
         self.ending = True
+        self.engine.dispatcher.load_ration.stop()
 
     def accept(self, sock: socket.socket) -> None:
         """Accepts the connections of clients."""
