Batches: the memory of a deduplicated call's mark counts from its first send, over tries

Cause: the span in which a repeat is known was counted by each activation, and every try of a batch call is a new one, so it began from nothing with each try. The store forgot the run as well, so that a crash had the same effect.

Mend: a try hands its possible runs, with the times of their sends, to the next one, and may_send() counts from there. When the span is over the call is aborted at once as one that may have run. Until then the store keeps it as out. A cancelled call that may have run is no longer told that it did not.

--- a/tests/live.py
+++ b/tests/live.py
@@ -34,9 +34,19 @@
     utility 2
     effect once-only
 }}
+type file {{
+    target-latency 500ms
+    action-timeout 8s
+    effect deduplicated
+    group all
+    memory-span 1s
+}}
 functions submit-* {{
     type submit
 }}
+functions file-* {{
+    type file
+}}
 functions * {{
     type check
     lanes 2
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -1,5 +1,7 @@
 """Batches: the queue, the cancels, the store and the replicated state, and whole histories on a virtual clock."""
+import json
 import tempfile
+import time
 import unittest
 from contextlib import closing
 from pathlib import Path
@@ -8,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.live import Live, free_port, until
+from tests.live import Live, ScriptedWorker, free_port, until
 from threadshift.batches.cancels import (
     ACCIDENT_CANCELS, ACCIDENT_FACTOR, CLOSED, OPEN, RESTORED, Cancel, Cancels, CancelOver, NoSuchCancel)
 from threadshift.batches.queue import FINAL_ANSWER_MARGIN, LATENCY_ALLOWANCE, RETRY_PAUSE, BatchCall, BatchQueue
@@ -20,6 +22,7 @@
 from threadshift.emulator.disk import SimulatedDisk
 from threadshift.emulator.record import InvariantViolation
 from threadshift.interface import MS, SECOND
+from threadshift.links.codec import VERSION, encode
 from threadshift.standins.disk import FaultyDisk
 
 NOW = 1_000 * SECOND
@@ -295,11 +298,64 @@
         BatchStore(Path("/other"), disk)         # the first file is no longer open
 
 
+def peers(folder):
+    """The block that lets a front end store batches."""
+    return f"peers {{\n folder {folder}\n voter front-0 127.0.0.1:{free_port()}\n}}"
+
+
+class ForgetfulWorker(ScriptedWorker):
+    """Ends the connection of the first call that it reads, and is not reached until it has forgotten its mark."""
+
+    MEMORY_SPAN_S = 1.0            # as in the configuration of tests/live.py
+
+    def __init__(self, name):
+        super().__init__(name, None)
+        self.marks = []
+        self.unreachable_until = 0.0
+
+    def converse(self, sock):
+        if time.monotonic() < self.unreachable_until:
+            return
+        sock.sendall(encode("hello", version=VERSION, name=self.name, started=1))
+        for frame in self.frames(sock):
+            if frame["kind"] == "ping":
+                sock.sendall(encode("pong"))
+            elif frame["kind"] == "invoke":
+                self.marks.append(frame.get("mark"))
+                self.unreachable_until = time.monotonic() + 1.5 * self.MEMORY_SPAN_S
+                return
+
+
+class Tries(unittest.TestCase):
+    def test_a_deduplicated_call_that_may_have_run_is_not_tried_again_after_its_mark_is_forgotten(self):
+        """Guards against tries that each count the span in which workers know a mark from nothing (review/7)."""
+        with tempfile.TemporaryDirectory() as folder:
+            worker = ForgetfulWorker("w0")
+            it = Live(0, extra=peers(folder))
+            it.extra.append(worker)
+            it.list("w0", worker.address)
+            with it, closing(it.client()) as client:
+                until(lambda: it.front.replicated_services
+                      and it.front.replicated_services.consensus.status()["holds"], 10)
+                ivk = client.request("POST", "/v1/functions/file-a/calls", {
+                    "Prefer": "respond-async", "Batch": "eve", "Idempotency-Key": "m"}, b"x").headers["activation"]
+                stored = it.front.replicated_services.batch_service.store.calls[ivk]
+                until(lambda: worker.marks)
+                tries = it.front.replicated_services.batch_service.calls[ivk][0]
+                until(lambda: tries.tries or stored.answer)
+                is_known_after_a_crash = stored.may_have_run or stored.answer is not None
+                until(lambda: client.request("GET", f"/v1/calls/{ivk}").status != 202, 8)
+                answer = client.request("GET", f"/v1/calls/{ivk}")
+                self.assertEqual((worker.marks, answer.headers["final"]), (["m"], "aborted"))
+                self.assertTrue(json.loads(answer.body)["may-have-run"])
+                self.assertTrue(is_known_after_a_crash)
+
+
 class Answers(unittest.TestCase):
     def test_answer_is_not_given_out_before_it_is_stored(self):
         # Guards against an answer given out but not stored: after a crash the same call was reported as aborted.
         with tempfile.TemporaryDirectory() as folder:
-            it = Live(1, extra=f"peers {{\n folder {folder}\n voter front-0 127.0.0.1:{free_port()}\n}}")
+            it = Live(1, extra=peers(folder))
             disk = it.front.disk = FaultyDisk()
             with it, closing(it.client()) as client:
                 until(lambda: it.front.replicated_services
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -201,6 +201,19 @@
         front.update_workers(0, [listing(f"later{n}") for n in range(5)], full=True)
         self.assertEqual({serve(front, f"fn{n}", ivk=f"c{n}")[:5] for n in range(30)}, {"later"})
 
+    def test_a_call_that_may_have_run_before_is_sent_again_within_the_memory_of_the_first_send_only(self):
+        """Guards against activations of one call that each begin with no memory of earlier sends (review/7)."""
+        for effect, now, may_be_sent in (
+                (Effect.DEDUPLICATED, SECOND, True), (Effect.DEDUPLICATED, 2 * SECOND, False),
+                (Effect.ONCE_ONLY, SECOND, False), (Effect.REPEATABLE, 9 * SECOND, True)):
+            front = front_end(2)
+            first, steps = call(front, effect=effect)
+            runs = front.earlier_runs(first)
+            self.assertEqual(len(runs), effect is not Effect.REPEATABLE)
+            self.assertEqual(front.may_repeat(effect.value, runs, now), may_be_sent)
+            again = front.admit(now, "b", effect.value, "g", 2500 * MS, earlier_runs=runs)
+            self.assertEqual(bool(sent_to(again.start(now))), may_be_sent, (effect, now))
+
     @staticmethod
     def order_wherever_allowed(front, now):
         """Orders loads of one function at as many workers as the ration allows; returns how many."""
--- a/threadshift/batches/queue.py
+++ b/threadshift/batches/queue.py
@@ -20,7 +20,7 @@
 from itertools import count
 
 from threadshift.batches.cancels import CLOSED, OPEN, RESTORED, Cancel
-from threadshift.interface import MS, SECOND
+from threadshift.interface import MS, SECOND, EarlierRun
 
 MIN_OUT = 1.0                  # calls that may be out at first, and at least; small, as all front ends start at once
 # A call is quick if it takes at most LATENCY_FACTOR times as long as the quickest, plus LATENCY_ALLOWANCE.
@@ -55,6 +55,8 @@
     is_out: bool = False
     is_done: bool = False
     reasons: list[str] = field(default_factory=list)     # why its tries were rejected
+    may_have_run: bool = False   # in one of its tries, although that was rejected
+    earlier_runs: tuple[EarlierRun, ...] = ()    # what of these must not happen twice
 
     @property
     def state(self) -> str:
@@ -73,6 +75,11 @@
     nearest: int = 0             # ns until the earliest deadline of those not done; 0: none
 
 
+def pause_before_retry(retry_after: int) -> int:
+    """ns from a rejection that asked for this pause to the next try."""
+    return max(RETRY_PAUSE, retry_after)
+
+
 class WaitingCalls:
     """The waiting calls of one batch by their order, so that a call that comes back has its old position."""
 
@@ -158,7 +165,7 @@
     def on_returned(self, call: BatchCall, now: int, completed: bool, may_retry: bool, reason: str,
                     retry_after: int = 0, took: int = 0) -> bool:
         """A call that was out has an answer. Returns True if that is its final answer. It waits again if `may_retry`,
-        as none of it ran or running twice does no harm, and if there is time. `took` is how long it was out."""
+        as running twice does no harm, and if there is time. `took` is how long it was out."""
         if not call.is_out:
             return False
         if completed and self.is_quick(call.type, now, took):
@@ -171,7 +178,7 @@
         call.is_out, self.out_count = False, self.out_count - 1
         call.tries += 1
         call.reasons = [*call.reasons, reason][-MAX_REASONS:]
-        call.not_before = now + max(RETRY_PAUSE, retry_after)
+        call.not_before = now + pause_before_retry(retry_after)
         self.requeue(call)
         return False
 
--- a/threadshift/choice.py
+++ b/threadshift/choice.py
@@ -14,12 +14,12 @@
 import heapq
 import random
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from itertools import accumulate, chain, islice
 
 from threadshift.interface import (
-    MS, SECOND, Action, Activation, Copy, Deployment, Effect, Outcome, Report, Send, Step, WorkerListing,
-    WorkerState)
+    MS, SECOND, Action, Activation, Copy, Deployment, EarlierRun, Effect, Outcome, Report, Send, Step,
+    WorkerListing, WorkerState)
 from threadshift.load_ration import LoadRation
 from threadshift.ring import HashRing, pair_of_points
 from threadshift.state import CountMinSketch, DispatcherState, Function, TypeStats, Worker, Zone
@@ -280,8 +280,10 @@
 
     def admit(self, now: int, activation_id: str, type_name: str, function_name: str, time_left: int, *,
               tenant: str = "", cost_hint: int = 0, lanes: int = 1, load_time: int = 0,
-              is_client_retry: bool = False) -> Activation:
-        """Admits an activation, which must be answered within `time_left` ns, and returns its handle."""
+              is_client_retry: bool = False, earlier_runs: Iterable[EarlierRun] = ()) -> Activation:
+        """Admits an activation, which must be answered within `time_left` ns, and returns its handle.
+
+        `earlier_runs` are those of earlier activations of the same call."""
         function = self.functions.pop(function_name, None)
         if function is None:
             ring_point, sketch_number = pair_of_points(function_name)
@@ -312,7 +314,7 @@
         activation = Activation(
             self, activation_id, type_stats, function, now, now + max(0, time_left - self.deadline_margin),
             cost_hint, is_client_retry or self.exceeds_share(tenant, now), function.turn,
-            self.load_ration.record_admission(now))
+            self.load_ration.record_admission(now), possible_runs=list(earlier_runs))
         heapq.heappush(self.timers, (activation.answer_due, self.next_serial(), activation))
         if len(self.timers) >= self.prune_timers_at:
             self.prune_timers()
@@ -642,9 +644,21 @@
                 and now + self.deadline_margin < send.sent_at + type_stats.dedup_window
                 for send in possible_runs))
 
-    def all_possible_runs(self, activation: Activation) -> list[Send]:
+    def all_possible_runs(self, activation: Activation) -> list[Send | EarlierRun]:
         """The sends that may have run, or may run yet."""
-        return activation.possible_runs + [send for send in activation.sends if send.is_open]
+        return [*activation.possible_runs, *(send for send in activation.sends if send.is_open)]
+
+    def earlier_runs(self, activation: Activation) -> tuple[EarlierRun, ...]:
+        """What another activation of the same call has to know of this one, unless it is repeatable."""
+        return () if activation.type_stats.effect is Effect.REPEATABLE else tuple(
+            EarlierRun(run.worker, run.sent_at) for run in self.all_possible_runs(activation))
+
+    def may_repeat(self, type_name: str, runs: Iterable[EarlierRun], when: int) -> bool:
+        """Whether a call that may have run there may be sent again at that time, to the workers of some group."""
+        type_stats = self.types[type_name]
+        last_sent_at = when - type_stats.dedup_window + self.deadline_margin
+        return type_stats.effect is Effect.REPEATABLE or all(
+            type_stats.effect is Effect.DEDUPLICATED and run.sent_at > last_sent_at for run in runs)
 
     def send(self, activation: Activation, worker: Worker, now: int) -> bool:
         """Sends the activation to the worker, if that is allowed; the only place that does."""
--- a/threadshift/engine/engine.py
+++ b/threadshift/engine/engine.py
@@ -26,7 +26,8 @@
 from typing import Any, NamedTuple, Protocol
 
 from threadshift.choice import NEVER_RAN, Dispatcher
-from threadshift.interface import SECOND, Action, Activation, Copy, Effect, Outcome, Report, Step, WorkerListing
+from threadshift.interface import (
+    SECOND, Action, Activation, Copy, EarlierRun, Effect, Outcome, Report, Step, WorkerListing)
 
 MIN_PRUNED_DEADLINES = 1_024   # entries of the heap, below which those of what has ended may stay
 PROBE_TIMEOUT = SECOND     # far longer than any answer takes on a network: a probe without one by then is lost
@@ -90,6 +91,7 @@
     sends: list[SendRecord] = field(default_factory=list)
     answer: Answer | None = None
     answered_at: int = 0
+    earlier_runs: tuple[EarlierRun, ...] = ()    # of the same call, in earlier requests
     client_gone: bool = False    # the client left before its answer
     client: Any = None           # whatever the ClientPort stores with it
 
@@ -178,21 +180,23 @@
 
     # Requests and events.
 
-    def admit(self, now: int, request_id: str, call: Call, client: Any = None,
-              received_at: int | None = None) -> PendingRequest:
+    def admit(self, now: int, request_id: str, call: Call, client: Any = None, received_at: int | None = None,
+              earlier_runs: tuple[EarlierRun, ...] = ()) -> PendingRequest:
         """Takes over a call, whose type must be known. From here on it gets exactly one final answer.
 
         Its time left counts from `received_at`, which is `now` where it is not given: however long the caller took
-        since it read its clock, the deadline stays the client's."""
+        since it read its clock, the deadline stays the client's. `earlier_runs` are what
+        Dispatcher.earlier_runs() returned of earlier requests with the same call."""
         now = self.advance_clock(now)
         deadline = (now if received_at is None else received_at) + call.left
         if self.final_deadline is not None:
             deadline = min(deadline, self.final_deadline)
         call = call._replace(left=deadline - now)
-        pending = PendingRequest(self, request_id, call, now, max(now, deadline), client=client)
+        pending = PendingRequest(self, request_id, call, now, max(now, deadline), client=client,
+                                 earlier_runs=earlier_runs)
         pending.activation = self.dispatcher.admit(
             now, request_id, call.type, call.function, call.left, tenant=call.tenant, cost_hint=call.work,
-            lanes=call.lanes, load_time=call.load_time, is_client_retry=call.again)
+            lanes=call.lanes, load_time=call.load_time, is_client_retry=call.again, earlier_runs=earlier_runs)
         self.requests[request_id] = pending
         self.owed += 1
         self.counts["taken"] += 1
@@ -418,8 +422,8 @@
 
 
 def may_have_run(pending: PendingRequest) -> bool:
-    """Whether any of its sends may have run, judged by how they ended so far."""
-    return any(sent.outcome not in NEVER_RAN for sent in pending.sends)
+    """Whether any of its sends, or of earlier ones of its call, may have run, judged by how they ended so far."""
+    return bool(pending.earlier_runs) or any(sent.outcome not in NEVER_RAN for sent in pending.sends)
 
 
 def build_refusal(pending: PendingRequest, step: Step, now: int) -> Answer:
--- a/threadshift/gateway/batch_service.py
+++ b/threadshift/gateway/batch_service.py
@@ -16,7 +16,7 @@
 from gevent.event import Event
 
 from threadshift.batches.cancels import CLOSED, OPEN, Cancel, CancelOver, Cancels, NoSuchCancel
-from threadshift.batches.queue import BatchCall, BatchCounts, BatchQueue
+from threadshift.batches.queue import BatchCall, BatchCounts, BatchQueue, pause_before_retry
 from threadshift.batches.store import BatchStore, StoredCall, make_record
 from threadshift.choice import NEVER_RAN
 from threadshift.conf.gateway_config import GatewayConfig
@@ -177,8 +177,7 @@
 
     def tick(self, now: int) -> None:
         for entry in self.queue.expire(now):
-            self.finish(entry, Answer(FinalKind.REJECTED, "cancelled") if entry.parked_by
-                       else Answer(FinalKind.REJECTED, "time-up"))
+            self.finish(entry, self.refusal(entry, "cancelled" if entry.parked_by else "time-up"))
         if not self.front.api.closing and (
                 self.consensus.member.staleness(clock()) is not None or now - self.started_at >= RECORD_WAIT):
             out = []
@@ -210,7 +209,8 @@
             name = f"{entry.id}~{entry.tries}" if entry.tries else entry.id
             # The call may be answered before admit() returns.
             self.pending.pop(entry.id, None)
-            pending = self.front.engine.admit(now, name, call._replace(left=entry.deadline - now, again=False), entry)
+            pending = self.front.engine.admit(now, name, call._replace(left=entry.deadline - now, again=False), entry,
+                                              earlier_runs=entry.earlier_runs)
             if entry.is_out and not pending.is_settled:
                 self.pending[entry.id] = pending
 
@@ -223,16 +223,43 @@
         assert answer is not None
         self.pending.pop(entry.id, None)
         now = time.monotonic_ns()
-        if self.queue.on_returned(entry, now, answer.final is FinalKind.COMPLETED, answer.final is FinalKind.REJECTED,
-                               answer.reason, answer.retry_after, now - pending.admitted_at):
-            self.finish(entry, answer)
-        else:
+        entry.may_have_run = entry.may_have_run or answer.may_have_run
+        entry.earlier_runs = self.front.engine.dispatcher.earlier_runs(pending.activation)
+        may_retry = answer.final is FinalKind.REJECTED and self.may_repeat(
+            entry, now + pause_before_retry(answer.retry_after))
+        if not self.queue.on_returned(entry, now, answer.final is FinalKind.COMPLETED, may_retry, answer.reason,
+                                      answer.retry_after, now - pending.admitted_at):
             self.requeue(entry)
+        elif answer.final is FinalKind.REJECTED:
+            self.finish(entry, self.refusal(entry, answer.reason, answer.retry_after))
+        else:
+            self.finish(entry, answer)
+
+    def may_repeat(self, entry: BatchCall, when: int) -> bool:
+        """Whether the call, which may have run in earlier tries, may be sent again at that time."""
+        return self.front.engine.dispatcher.may_repeat(entry.type, entry.earlier_runs, when)
+
+    @staticmethod
+    def refusal(entry: BatchCall, reason: str, retry_after: int = 0) -> Answer:
+        """The final answer to a call that is not sent again.
+
+        Where it may have run and must not run twice, it does not promise that a repeat is harmless: for how long
+        workers know the repeat, its client cannot tell."""
+        if entry.earlier_runs:
+            return Answer(FinalKind.ABORTED, reason, may_have_run=True)
+        return Answer(FinalKind.REJECTED, reason, retry_after=retry_after, may_have_run=entry.may_have_run)
 
     def requeue(self, entry: BatchCall) -> None:
         """Lets a call wait again. If this cannot be stored, the call counts as possibly run, which is safe."""
-        self.persist([make_record("back", ivk=entry.id, tries=entry.tries, parked=entry.parked_by)],
-                     lambda is_stored: None)
+        self.persist(self.back_records([entry]), lambda is_stored: None)
+
+    def back_records(self, entries: list[BatchCall]) -> list[dict[str, Any]]:
+        """The records of calls that wait again.
+
+        There is none for a call that may have run and must not run twice: after a crash nothing would tell how long
+        ago that was, so it has to be found as one that was out."""
+        return [make_record("back", ivk=each.id, tries=each.tries, parked=each.parked_by) for each in entries
+                if not each.earlier_runs]
 
     def finish(self, entry: BatchCall, answer: Answer) -> None:
         """Stores the final answer of a call, then gives it to its client."""
@@ -269,7 +296,7 @@
         if entry.is_out and not self.withdraw(entry):
             return None
         self.queue.finish(entry)
-        answer = Answer(FinalKind.REJECTED, "cancelled")
+        answer = self.refusal(entry, "cancelled")
         self.finish(entry, answer)
         return answer
 
@@ -298,8 +325,7 @@
                 late = time.time_ns() - cancel.at
                 if new or out:
                     self.persist([make_record("stop", cancel=cancel.id, ivks=new)], lambda is_stored: None)
-                    self.persist([make_record("back", ivk=each.id, tries=each.tries, parked=each.parked_by)
-                                  for each in withdrawn], lambda is_stored: None)
+                    self.persist(self.back_records(withdrawn), lambda is_stored: None)
                     self.front.note("batch-stopped", cancel=cancel.id, batch=cancel.batch, parked=len(new),
                                     out=len(out) - len(withdrawn),
                                     heard_late_ms=late // MS if late > LATE_CANCEL else 0)
@@ -307,7 +333,7 @@
                 self.persist([make_record("free", cancel=cancel.id)], lambda is_stored: None)
                 self.front.note("batch-restored", cancel=cancel.id, batch=cancel.batch, calls=len(restored))
             for each in closed:
-                self.finish(each, Answer(FinalKind.REJECTED, "cancelled"))
+                self.finish(each, self.refusal(each, "cancelled"))
             if closed:
                 self.front.note("batch-closed", cancel=cancel.id, batch=cancel.batch, calls=len(closed))
 
--- a/threadshift/interface.py
+++ b/threadshift/interface.py
@@ -155,6 +155,13 @@
     is_open: bool = True         # no outcome yet
 
 
+class EarlierRun(NamedTuple):
+    """A send of an earlier activation of the same call, which may have run."""
+
+    worker: Any
+    sent_at: int
+
+
 @dataclass(slots=True, eq=False)
 class Activation:
     """The caller's handle for an admitted call, which passes all events on to the dispatcher."""
@@ -172,7 +179,7 @@
     probe_count: int = 0         # workers probed on its account
     awaited_worker: Any = None   # the worker whose report it waits for
     sends: list[Send] = field(default_factory=list)
-    possible_runs: list[Send] = field(default_factory=list)     # sends that may have run
+    possible_runs: list[Send | EarlierRun] = field(default_factory=list)    # sends that may have run
     open_send_count: int = 0     # sends without an outcome yet
     answered: bool = False       # it has its final answer, or its client is gone
     answer_started: bool = False     # part of a streamed answer has reached the client
--- a/threadshift/invoke/requests.py
+++ b/threadshift/invoke/requests.py
@@ -176,7 +176,8 @@
         error = [("Function-Error", answer.error[:200])] if answer.error.isascii() and answer.error else []
         return Response(200, [("Content-Type", "application/octet-stream"), *marks, *error], answer.body)
     if answer.reason == "cancelled":
-        status, detail = 410, "cancelled; the call did not run"
+        status, detail = 410, "cancelled; the call may have run" if answer.may_have_run else (
+            "cancelled; the call did not run")
     elif answer.final is FinalKind.REJECTED:
         status = 429 if answer.reason == "over-share" else 503
         detail = "rejected; the call was not completed, and retrying it is safe"
