--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -24,10 +24,11 @@
 
     `configured` is the number of front ends in their settings, if it differs; `types` has pairs of a share of calls
     and their work in ms; `at` and `until` are seconds from the start, `quiet` seconds without calls, `busy` the share
-    of the capacity in use, and `late` the ns by which one front end in four learns of the restart later."""
+    of the capacity in use, and `late` the ns by which one front end in four learns of the restart later. All front ends
+    restart together, again and again, `restart_every` so many seconds after the workers have, where that is not 0."""
 
     def __init__(self, front_ends, seed, configured=0, types=((0.76, 94), (0.24, 38)), workers=20, cold=8, at=2.0,
-                 quiet=0.0, busy=0.45, until=4.5, late=0, restarted=False):
+                 quiet=0.0, busy=0.45, until=4.5, late=0, restarted=False, restart_every=0.0):
         self.rng, self.types = random.Random(seed), types
         self.mean_work = sum(share * work for share, work in types)
         self.capacity = CORES * 1000 / self.mean_work
@@ -42,6 +43,7 @@
         self.begin = 1000 * SECOND
         self.starts = dict.fromkeys(self.names[:cold], self.begin + int(at * SECOND))
         self.settings, self.late, self.restarted = settings, late, restarted
+        self.restart_every = int(restart_every * SECOND)
         self.fronts = [self.front_end(self.begin) for _ in range(front_ends)]
         for each in self.fronts:
             each.update_workers(self.begin, [listing(name) for name in self.names], True)
@@ -75,6 +77,15 @@
                 front.update_workers(now, [listing(name) for name in self.names], True)
         for number, front in enumerate(self.fronts):
             self.schedule(now + (self.late if number % 4 == 3 else 0), self.announce_restart, front, now)
+        if self.restart_every:
+            self.schedule(now + self.restart_every, self.restart_front_ends)
+
+    def restart_front_ends(self, now):
+        """Replaces all front ends by ones that know the list of workers, with their starts, and nothing else."""
+        self.fronts = [self.front_end(now) for _ in self.fronts]
+        for front in self.fronts:
+            front.update_workers(now, [listing(name, started_at=self.starts.get(name, 0)) for name in self.names], True)
+        self.schedule(now + self.restart_every, self.restart_front_ends)
 
     def announce_restart(self, now, front, started_at):
         """Tells a front end that the workers have started."""
@@ -151,6 +162,14 @@
                 self.assertGreater(sum(at >= start for name, start in fleet.starts.items()
                                        for at, _ in fleet.sent[name]), 0, (front_ends, options))
 
+    def test_front_ends_that_restart_in_a_row_send_a_started_worker_no_more_than_its_budget(self):
+        """Guards against budgets of work that each process of a front end begins anew."""
+        for front_ends in (3, 20):
+            for seconds in (0.1, 0.4):
+                for options in ({}, {"cold": 20, "at": 0.0, "busy": 0.9}):
+                    fleet = Fleet(front_ends, seed=front_ends, restart_every=seconds, **options).run()
+                    self.assertLess(fleet.worst_share(), 1.0, (front_ends, seconds, options))
+
     def test_fewer_front_ends_than_configured_are_no_worse(self):
         for live, configured in ((3, 20), (20, 30), (60, 200)):
             self.assertLess(Fleet(live, 7, configured, cold=20, at=0.0).run().worst_share(), 1.0)
