Platform: the log tells where a request was when its time ended

Change: request-late names a request that ended 50 ms or more after its time, and where it was then: unread, postponed, admitted, sent, or in the outbox of its client; state has longest_unread_ms.

--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -24,8 +24,8 @@
 
     `configured` is the number of front ends in their settings, if it differs; `types` has pairs of a share of calls
     and their work in ms; `at` and `until` are seconds from the start, `quiet` seconds without calls, `busy` the share
-    of the capacity in use, and `late` the ns by which one front end in four learns of the restart later. All front ends
-    restart together, again and again, `restart_every` so many seconds after the workers have, where that is not 0."""
+    of the capacity in use, and `late` the ns by which one front end in four learns of the restart later. Where
+    `restart_every` is not 0, all front ends restart every so many seconds, once the workers have."""
 
     def __init__(self, front_ends, seed, configured=0, types=((0.76, 94), (0.24, 38)), workers=20, cold=8, at=2.0,
                  quiet=0.0, busy=0.45, until=4.5, late=0, restarted=False, restart_every=0.0):
@@ -83,8 +83,9 @@
     def restart_front_ends(self, now):
         """Replaces all front ends by ones that know the list of workers, with their starts, and nothing else."""
         self.fronts = [self.front_end(now) for _ in self.fronts]
+        listings = [listing(name, started_at=self.starts.get(name, 0)) for name in self.names]
         for front in self.fronts:
-            front.update_workers(now, [listing(name, started_at=self.starts.get(name, 0)) for name in self.names], True)
+            front.update_workers(now, listings, True)
         self.schedule(now + self.restart_every, self.restart_front_ends)
 
     def announce_restart(self, now, front, started_at):
--- a/threadshift/fastcgi/connection.py
+++ b/threadshift/fastcgi/connection.py
@@ -17,6 +17,7 @@
 from threadshift.engine.engine import PendingRequest
 from threadshift.fastcgi import codec, connection_eviction, requests
 from threadshift.fastcgi.codec import ABORT, BEGIN, GET_VALUES, PARAMS, STDIN, ProtocolError, Records
+from threadshift.fastcgi.lateness import Progress, Stage
 from threadshift.fastcgi.requests import MAX_BODY, MAX_PARAMS, InvalidRequest
 from threadshift.interface import SECOND
 from threadshift.invoke.input_age import InputAge
@@ -46,6 +47,7 @@
     memory_budget: MemoryBudget
 
     def on_request(self, request: Request, received_since: int) -> None: ...
+    def log_late(self, progress: Progress, stage: Stage) -> None: ...
     def refuse_half_read(self, request: Request) -> None: ...
 
 
@@ -53,7 +55,7 @@
     """One open request: it is read first and then pending in the engine."""
 
     __slots__ = ("connection", "id", "keep_open", "began_at", "raw_parameters", "body", "parameters", "pending",
-                 "size")
+                 "size", "progress")
 
     def __init__(self, connection: Connection, id_: int, keep_open: bool, began_at: int):
         self.connection, self.id, self.keep_open, self.began_at = connection, id_, keep_open, began_at
@@ -61,6 +63,7 @@
         self.parameters: dict[bytes, str] | None = None    # once they are complete
         self.pending: Any = None                           # None while it is read, True until it is admitted
         self.size = REQUEST_OVERHEAD                       # bytes held while it is read
+        self.progress: Progress | None = None              # once it is read and valid
 
     def respond(self, content: bytes, status: int = codec.COMPLETE) -> None:
         """Sends the response and ends the request."""
@@ -76,6 +79,7 @@
         self.accepted = self.active = time.monotonic_ns()
         self.check_due = self.accepted + connection_eviction.FIRST_ANSWER_TIMEOUT
         self.open: dict[int, Request] = {}
+        self.unwritten: list[Progress] = []      # of requests whose responses wait for the socket
         self.records = Records()
         self.answered = self.closes_when_done = self.ended = False
         self.is_handling_input = False           # what is sent meanwhile is written together, once all is handled
@@ -178,9 +182,12 @@
             self.listener.note("client-gone", requests=len(ids), ids=ids[:MAX_LOGGED_IDS])
         for request in abandoned:
             self.abandon(request)
+        self.log_unwritten()
 
     def abandon(self, request: Request) -> None:
         """Tells the engine that the client of this request is gone."""
+        if request.progress is not None:
+            self.listener.log_late(request.progress, request.progress.stage(request.pending))
         if isinstance(request.pending, PendingRequest) and not request.pending.is_settled:
             request.pending.on_client_gone(time.monotonic_ns())
 
@@ -274,6 +281,9 @@
         if self.open.get(request.id) is not request:
             return                      # its client aborted it: the id may belong to another request by now
         del self.open[request.id]
+        if request.progress is not None:
+            self.listener.log_late(request.progress, request.progress.stage(request.pending))
+            self.unwritten.append(request.progress)
         self.answered = True
         self.active = time.monotonic_ns()
         self.closes_when_done = self.closes_when_done or not request.keep_open
@@ -291,9 +301,16 @@
                 self.record_memory()
 
     def written(self) -> None:
+        self.log_unwritten()
         if self.closes_when_done and not self.open:
             self.shut(socket.SHUT_RD)
 
+    def log_unwritten(self) -> None:
+        """Logs the responses that waited for the socket until after the end of their requests' time."""
+        unwritten, self.unwritten = self.unwritten, []
+        for progress in unwritten:
+            self.listener.log_late(progress, Stage.IN_OUTBOX)
+
     def end(self) -> bool:
         """Closes a connection without open requests, unless input, which must be a request, is unread on it.
 
--- a/threadshift/fastcgi/listener.py
+++ b/threadshift/fastcgi/listener.py
@@ -19,6 +19,7 @@
 from threadshift.fastcgi import activation_shares, codec, connection_eviction, requests
 from threadshift.fastcgi.codec import BEGIN, ProtocolError, Records
 from threadshift.fastcgi.connection import MAX_OPEN_REQUESTS, READ_SIZE, WRITE_TIMEOUT, Connection, Request
+from threadshift.fastcgi.lateness import Progress, Stage
 from threadshift.fastcgi.postponed import FrontEnd, PostponedRequests
 from threadshift.fastcgi.requests import InvalidRequest
 from threadshift.interface import MS, SECOND, NamespaceType
@@ -65,6 +66,7 @@
         self.postponed = PostponedRequests(self, self.greenlets.spawn)
         self.closing = False
         self.limit_check_due = self.eviction_failed_at = 0
+        self.longest_unread = 0      # ns that a request may have lain unread, since the last state that was logged
         self.engine: RequestEngine
 
     def accept(self, sock: socket.socket) -> None:
@@ -155,6 +157,8 @@
         # The request may have waited unread since the event loop polled last, while its client's time went on.
         now = time.monotonic_ns()
         unread = max(now - received_since, self.poll_monitor.unread_time(now))
+        self.longest_unread = max(self.longest_unread, unread)
+        request.progress = Progress(parsed.id, now - unread, now, now - unread + parsed.call.left)
         if unread < STALL_THRESHOLD and not self.front_end.list_is_stale() and not self.front_end.has_unread_update():
             self.admit(request, parsed, now - unread)
         elif not self.has_room(request):
@@ -221,6 +225,18 @@
         """Returns a refusal whose retry advice is a random time between half the maximum and the maximum."""
         return requests.unavailable_response(reason, int(self.max_retry_after * (1 - self.chance() / 2)))
 
+    def log_late(self, progress: Progress, stage: Stage) -> None:
+        """Logs, once, a request that ends long after its time, and where it was then."""
+        now = time.monotonic_ns()
+        if progress.is_late(now) and not progress.is_logged:
+            progress.is_logged = True
+            self.note("request-late", level="warning", **progress.fields(stage, now))
+
+    def take_longest_unread(self) -> int:
+        """The longest time, in ns, for which a request may have lain unread since this was asked last."""
+        longest, self.longest_unread = self.longest_unread, 0
+        return longest
+
     # The engine's port.
 
     def has_unread_disconnect(self, pending: PendingRequest) -> bool:
--- a/threadshift/node/front.py
+++ b/threadshift/node/front.py
@@ -255,6 +255,7 @@
                 "worker_connections": self.worker_connections, "dialled_in_all": self.total_dials,
                 "ready": len(dispatcher.ready_workers), "suspended": sum(it.suspended_until > now for it in workers),
                 "functions": len(dispatcher.functions), "roster_lost": self.is_discovery_lost,
+                "longest_unread_ms": self.listener.take_longest_unread() // MS,
                 "lag_ms": round(self.admission.smoothed_lag / MS, 1), "part": round(self.admission.refused_share, 3),
                 "stalls": self.stalls, "longest_stall_ms": self.longest_stall // MS,
                 "turned_away": self.listener.refusal_counters.totals(), "counts": dict(self.engine.counts)}
