Connections that always have input take turns in order, so that one keeps none

Cause: connections whose input keeps coming go on one at a time, by a semaphore. gevent gives it to whoever asks right after its release before it wakes those that wait, so that one flooding connection kept every turn. A usual connection that needed a turn, as two parts of its input came in one iteration of the loop, was not read again while the flood lasted.

Mend: links/turns.py passes a turn on before anybody can ask for it, to the one that had its turn longest ago; the daemon's connections take the same turns.

--- a/tests/test_input_floods.py
+++ b/tests/test_input_floods.py
@@ -10,7 +10,6 @@
 
 import gevent
 from gevent import socket
-from gevent.lock import BoundedSemaphore
 
 from tests.floods import LONGEST_TURN, Flood, TurnMeter
 from tests.live import ANY, Live, ScriptedWorker, Server, free_port, until
@@ -32,6 +31,7 @@
 from threadshift.invoke.http import Connection, TimeoutMonitor
 from threadshift.links.checkpoint import Checkpoint
 from threadshift.links.codec import VERSION, encode
+from threadshift.links.turns import Turns
 from threadshift.peers.link import PeerLink, PeerListener
 from threadshift.standins.common import Record
 from threadshift.standins.feed import RosterFeed
@@ -264,7 +264,56 @@
 
     def test_greenlets_with_common_turns_go_on_one_at_a_time(self):
         """Guards against many flooding clients that together delay others as many times as long as one does."""
-        self.assertEqual(self.run_together(3, 4, turns=BoundedSemaphore()), [3] + [1] * 9)
+        self.assertEqual(self.run_together(3, 4, turns=Turns()), [3] + [1] * 9)
+
+
+class TurnOrder(unittest.TestCase):
+    """Guards against usual clients that are not read for seconds, as one that floods takes every turn (issue 69)."""
+
+    def busy(self, turns, done, number):
+        """Takes part in the turns without end."""
+        checkpoint = Checkpoint(turns=turns)
+        while True:
+            checkpoint.wait()
+            done[number] += 1
+
+    def start(self, function, *arguments):
+        greenlet = gevent.spawn(function, *arguments)
+        self.addCleanup(greenlet.kill)
+        return greenlet
+
+    def test_greenlets_that_always_have_work_go_on_equally_often(self):
+        turns, done = Turns(), Counter()
+        for number in range(8):
+            self.start(self.busy, turns, done, number)
+        until(lambda: sum(done.values()) > 800)
+        self.assertEqual(len(done), 8)
+        self.assertLessEqual(max(done.values()) - min(done.values()), 2)
+
+    def test_one_with_little_to_do_goes_on_next(self):
+        turns, done = Turns(), Counter()
+        seldom = turns.join()
+        for number in range(8):
+            self.start(self.busy, turns, done, number)
+        until(lambda: sum(done.values()) > 100)
+        for _ in range(20):
+            before = turns.count
+            with seldom:
+                gevent.idle(gevent.get_hub().loop.MAXPRI)
+            self.assertLessEqual(turns.count - before, 2)       # the turn under way, and its own
+            until(lambda: turns.count > before + 20)            # noqa: B023  called in this iteration
+
+    def test_one_that_is_killed_while_it_waits_keeps_nobody_waiting(self):
+        turns, done = Turns(), Counter()
+        holder = turns.join()
+        with holder:
+            waiting = [self.start(self.busy, turns, done, number) for number in range(3)]
+            until(lambda: len(turns.waiting) == 3)
+            waiting[0].kill()
+        waiting[1].kill()                   # it may have been called already
+        until(lambda: done[2] > 10)
+        waiting[2].kill()
+        self.assertFalse(turns.is_taken)
 
 
 class ControlFloods(InputFloods):
--- a/threadshift/fastcgi/connection.py
+++ b/threadshift/fastcgi/connection.py
@@ -12,7 +12,6 @@
 
 import gevent
 from gevent import socket
-from gevent.lock import BoundedSemaphore
 
 from threadshift.engine.engine import PendingRequest
 from threadshift.fastcgi import codec, connection_eviction, requests
@@ -24,6 +23,7 @@
 from threadshift.invoke.refusal_counters import RefusalCounters
 from threadshift.links.checkpoint import Checkpoint
 from threadshift.links.sockets import BufferedSender, has_events
+from threadshift.links.turns import Turns
 from threadshift.memory_budget import MemoryBudget
 
 READ_SIZE = 16 << 10           # bytes a read: several usual requests, and little memory for each connection
@@ -43,7 +43,7 @@
     refusal_counters: RefusalCounters
     max_connections: Callable[[], int]   # that clients may hold now
     note: Callable[..., None]
-    read_turns: BoundedSemaphore         # of the connections whose input keeps coming
+    read_turns: Turns         # of the connections whose input keeps coming
     memory_budget: MemoryBudget
 
     def on_request(self, request: Request, received_since: int) -> None: ...
--- a/threadshift/fastcgi/listener.py
+++ b/threadshift/fastcgi/listener.py
@@ -12,7 +12,6 @@
 
 import gevent
 from gevent import socket
-from gevent.lock import BoundedSemaphore
 from gevent.pool import Group
 
 from threadshift.engine.engine import PendingRequest, RequestEngine
@@ -28,6 +27,7 @@
 from threadshift.invoke.poll_monitor import STALL_THRESHOLD, PollMonitor
 from threadshift.invoke.refusal_counters import RefusalCounters
 from threadshift.links.sockets import BACKLOG, accept_connections, has_events
+from threadshift.links.turns import Turns
 from threadshift.log import exception_fields
 from threadshift.memory_budget import MemoryBudget
 
@@ -62,7 +62,7 @@
         self.poll_monitor, self.refusal_counters = PollMonitor(), RefusalCounters()
         self.connections: set[Connection] = set()
         self.greenlets = Group()
-        self.read_turns = BoundedSemaphore()
+        self.read_turns = Turns()
         self.postponed = PostponedRequests(self, self.greenlets.spawn)
         self.closing = False
         self.limit_check_due = self.eviction_failed_at = 0
--- a/threadshift/invoke/http.py
+++ b/threadshift/invoke/http.py
@@ -18,7 +18,6 @@
 import httptools
 from gevent import socket
 from gevent.event import Event
-from gevent.lock import BoundedSemaphore
 
 from threadshift.conf.gateway_config import Bounds
 from threadshift.interface import MS, SECOND
@@ -26,6 +25,7 @@
 from threadshift.invoke.requests import Problem, Response, problem_response, retry_headers
 from threadshift.links.checkpoint import Checkpoint
 from threadshift.links.sockets import has_events
+from threadshift.links.turns import Turns
 from threadshift.memory_budget import MemoryBudget
 
 READ_SIZE = 64 << 10                     # bytes
@@ -83,7 +83,7 @@
     def __init__(self, memory_budget: MemoryBudget | None = None) -> None:
         self.connections: set[Connection] = set()
         self.memory_budget = memory_budget or MemoryBudget(UNLIMITED)
-        self.read_turns = BoundedSemaphore()     # of the connections whose input keeps coming
+        self.read_turns = Turns()     # of the connections whose input keeps coming
         self.next_check = 0
 
     def tick(self, now: int) -> None:
