Platform: an id that may have run is refused when it comes again after its end

Cause: an id was known as open while the engine held its request; a client that leaves ends it at once, while the worker may go on.

Mend: ids of requests that may have run and must not run twice are remembered after their end, bounded by a part of the memory, and get 409 like open ones.

--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -27,8 +27,9 @@
 from threadshift.coordinator import freshness
 from threadshift.fastcgi import connection_eviction
 from threadshift.fastcgi.codec import STDIN, record, stream
+from threadshift.fastcgi.used_ids import UsedIds
 from threadshift.frames import link, pool
-from threadshift.frames.codec import FROM_WORKER, INVOKE, OK, encode
+from threadshift.frames.codec import FROM_WORKER, FULL, INVOKE, OK, encode
 from threadshift.interface import MS, SECOND, Effect, Outcome
 from threadshift.links.sockets import BufferedSender
 from threadshift.node import shutdown
@@ -265,6 +266,34 @@
             self.assertEqual(it.call(id_=B)[0], 200)
             self.assertEqual([frame.id.hex() for frame in it.workers[0].frames_with(INVOKE)], [B])
 
+    def test_an_id_that_comes_again_after_its_client_left_does_not_run_twice(self):
+        """Guards against once-only requests that run again under an id whose first client has left (issue 69)."""
+        for leaves in (Client.abort, Client.close):
+            with self.subTest(leaves=leaves.__name__), Platform(scripts=(lambda *_: None,)) as it:
+                client = it.client()
+                client.ask(type_="submit")
+                until(lambda: it.workers[0].frames_with(INVOKE))
+                leaves(client)
+                until(lambda: it.node.engine.counts["left"] and not it.node.engine.requests)
+                self.assertEqual(it.call(type_="submit")[0], 409)
+                self.assertEqual(len(it.workers[0].frames_with(INVOKE)), 1)
+
+    def test_an_id_whose_request_never_ran_or_may_run_again_is_taken(self):
+        def refuse(worker, sock, frame):
+            if frame.code == INVOKE:
+                sock.sendall(encode(FULL, frame.id, sender=FROM_WORKER))
+
+        for script, type_ in ((refuse, "submit"), (serve, "check")):
+            with self.subTest(type_=type_), Platform(scripts=(script,)) as it:
+                statuses = [it.call(type_=type_)[0] for _ in range(2)]
+                self.assertNotIn(409, statuses)
+
+    def test_the_ids_that_are_remembered_are_bounded(self):
+        used = UsedIds(3)
+        for number in range(5):
+            used.add(str(number))
+        self.assertEqual([str(number) in used for number in range(5)], [False, False, True, True, True])
+
     def test_abort_is_read_in_spite_of_protocol_violations(self):
         with Platform([silent]) as it:
             client = it.client()
--- a/threadshift/fastcgi/listener.py
+++ b/threadshift/fastcgi/listener.py
@@ -14,14 +14,15 @@
 from gevent import socket
 from gevent.pool import Group
 
-from threadshift.engine.engine import PendingRequest, RequestEngine
+from threadshift.engine.engine import PendingRequest, RequestEngine, may_have_run
 from threadshift.fastcgi import activation_shares, codec, connection_eviction, requests
 from threadshift.fastcgi.codec import BEGIN, ProtocolError, Records
 from threadshift.fastcgi.connection import MAX_OPEN_REQUESTS, READ_SIZE, WRITE_TIMEOUT, Connection, Request
 from threadshift.fastcgi.lateness import Progress, Stage
 from threadshift.fastcgi.postponed import FrontEnd, PostponedRequests
 from threadshift.fastcgi.requests import InvalidRequest
-from threadshift.interface import MS, SECOND, NamespaceType
+from threadshift.fastcgi.used_ids import UsedIds
+from threadshift.interface import MS, SECOND, Effect, NamespaceType
 from threadshift.invoke.admission import Admission
 from threadshift.invoke.input_age import InputAge
 from threadshift.invoke.poll_monitor import STALL_THRESHOLD, PollMonitor
@@ -54,11 +55,11 @@
 
     def __init__(self, max_connections: Callable[[], int], max_activations: int, types: dict[str, NamespaceType],
                  max_retry_after: int, admission: Admission, front_end: FrontEnd, note: Callable[..., None],
-                 chance: Callable[[], float], memory_budget: MemoryBudget):
+                 chance: Callable[[], float], memory_budget: MemoryBudget, max_used_ids: int):
         self.max_connections, self.max_activations, self.types, self.max_retry_after = (
             max_connections, max_activations, types, max_retry_after)
         self.admission, self.front_end, self.note, self.chance = admission, front_end, note, chance
-        self.memory_budget = memory_budget
+        self.memory_budget, self.used_ids = memory_budget, UsedIds(max_used_ids)
         self.poll_monitor, self.refusal_counters = PollMonitor(), RefusalCounters()
         self.connections: set[Connection] = set()
         self.greenlets = Group()
@@ -201,6 +202,8 @@
         """Refuses a request or gives it to the engine. Its time counts from `received_at`. Raises InvalidRequest."""
         if parsed.id in self.engine.requests:
             raise InvalidRequest(409, "a request with this id is open")
+        if parsed.id in self.used_ids:
+            raise InvalidRequest(409, "a request with this id may have run, and must not run twice")
         now = time.monotonic_ns()
         late = received_at + parsed.call.left <= now
         if self.closing or late or not self.has_room(request):
@@ -255,7 +258,8 @@
         pending.client.respond(requests.final_response(answer))
 
     def on_finished(self, pending: PendingRequest) -> None:
-        """Does nothing: no state is kept beside the handle."""
+        if self.types[pending.call.type].effect is not Effect.REPEATABLE and may_have_run(pending):
+            self.used_ids.add(pending.id)
 
     # Time.
 
--- a/threadshift/node/front_end_config.py
+++ b/threadshift/node/front_end_config.py
@@ -13,6 +13,7 @@
 from threadshift.conf.settings import FieldReader, InvalidInput, flatten, parse_deployment
 from threadshift.conf.values import Address
 from threadshift.fastcgi.requests import MAX_BODY
+from threadshift.fastcgi.used_ids import ID_SIZE
 from threadshift.frames import pool
 from threadshift.frames.link import LinkSettings
 from threadshift.interface import MS, SECOND, Deployment
@@ -25,6 +26,7 @@
 FUNCTION_SIZE = 3_500          # bytes that the policy remembers of one, with a hundred workers
 BUFFER_DIVISOR = 1_024         # this fraction of the memory is for unsent bytes of one connection to a worker
 BODY_DIVISOR = 64              # this fraction of the memory is for the longest answer
+USED_IDS_DIVISOR = 64          # this fraction of the memory is for ids of requests that have ended
 MIN_ACTIVATIONS = 16
 MIN_MEMORY_MB = 16             # with less, no front end runs
 MIN_SOCKETS = 32
@@ -52,6 +54,11 @@
         """The most that is held for clients in all, besides the bodies of pending calls."""
         return self.memory_bytes // CLIENTS_DIVISOR
 
+    @property
+    def max_used_ids(self) -> int:
+        """How many ids of ended requests that must not run twice are remembered."""
+        return self.memory_bytes // USED_IDS_DIVISOR // ID_SIZE
+
     @property
     def worker_bytes(self) -> int:
         """The most that is held of the answers of all workers that have not arrived whole."""
