Daemon: nothing is sent, nor done, for calls of clients that have closed

Cause: what a connection held was worked on before its end was looked at, and a call that waited was sent whether or not its client was there. The work for closed connections kept new ones waiting in the accept queue.

Mend: the socket is asked for the client's end before a call that is not deferred is taken, and before each send. On the platform, where sends asked already, input of a closed connection is not worked on.

Tests of invoke, races, floods, gateway and its memory green.

--- a/tests/test_invoke.py
+++ b/tests/test_invoke.py
@@ -7,7 +7,7 @@
 import gevent
 from gevent import socket
 
-from tests.live import Live, until
+from tests.live import Live, block_process, until
 from threadshift.engine.engine import Answer, FinalKind
 from threadshift.interface import MS, SECOND
 from threadshift.invoke.admission import READING_INTERVAL, Admission
@@ -127,6 +127,37 @@
             self.assertEqual(statuses(sock.recv(1000)), [200])
 
 
+class ClosedClients(unittest.TestCase):
+    """Guards against calls that are sent on for clients that closed with much unread (issue 69)."""
+
+    def test_a_call_whose_client_has_closed_is_not_sent(self):
+        with Live(workers=1) as live, socket.create_connection(("127.0.0.1", live.port)) as sock:
+            until(lambda: live.front.connections)
+            sock.sendall(f"{POST}Content-Length: 1\r\n\r\nx".encode() * 4)
+            sock.close()
+            block_process()                     # so that its end has arrived when the calls are read
+            until(lambda: not live.front.connections)
+            self.assertEqual((live.front.engine.counts["sends"], live.front.engine.counts["taken"]), (0, 0))
+            self.assertEqual(live.front.api.refusal_counters.totals(), {"client-gone": 4})
+
+    def test_an_unread_close_stops_a_send_that_waited(self):
+        with Live(workers=1) as live, socket.create_connection(("127.0.0.1", live.port)) as sock:
+            sock.sendall(f"{POST}Content-Length: 1\r\n\r\nx".encode())
+            until(lambda: live.front.engine.requests)
+            pending, = live.front.engine.requests.values()
+            self.assertFalse(live.front.api.has_unread_disconnect(pending))
+            sock.close()
+            until(lambda: pending.client is None or live.front.api.has_unread_disconnect(pending))
+
+    def test_a_deferred_call_is_taken_whether_or_not_its_client_waits(self):
+        with Live(workers=1) as live, socket.create_connection(("127.0.0.1", live.port)) as sock:
+            until(lambda: live.front.connections)
+            sock.sendall(f"{POST}Prefer: respond-async\r\nContent-Length: 1\r\n\r\nx".encode())
+            sock.close()
+            block_process()
+            until(lambda: live.front.engine.counts["answered completed"])
+
+
 class Deferred(unittest.TestCase):
     def test_accepted_waited_for_and_collected(self):
         with Live() as live, closing(live.client()) as client:
--- a/threadshift/fastcgi/connection.py
+++ b/threadshift/fastcgi/connection.py
@@ -119,8 +119,8 @@
         What was read is referred to in here alone: serve() would hold it until something else arrives."""
         began = time.monotonic_ns()
         data = self.sock.recv(READ_SIZE)
-        if not data or self.ended:
-            return False
+        if not data or self.ended or has_events(self.sock, select.POLLRDHUP):
+            return False            # nobody waits for answers on a connection that its client has closed
         self.active = time.monotonic_ns()
         self.age.on_read(began, is_empty=len(data) < READ_SIZE)
         offences = self.offences
--- a/threadshift/invoke/api.py
+++ b/threadshift/invoke/api.py
@@ -3,6 +3,7 @@
 
 import json
 import re
+import select
 import time
 from collections.abc import Callable, Mapping
 from itertools import count, cycle
@@ -22,6 +23,7 @@
 from threadshift.invoke.requests import (
     BATCH_CANCEL_PATH, BATCH_PATH, CALL_PATH, CALLS_PATH, CANCEL_RESTORE_PATH, Problem, Response)
 from threadshift.invoke.shares import SharedCapacity
+from threadshift.links.sockets import has_events
 from threadshift.log import Log
 from threadshift.memory_budget import AdmittedBytes
 
@@ -74,6 +76,14 @@
     def state_of(self, activation_id: str) -> dict[str, Any] | None: ...
 
 
+def has_closed(exchange: Exchange) -> bool:
+    """Whether the client has closed its connection, read or not.
+
+    A call is given up where the input of its connection ends, so one closed in one direction counts as well."""
+    sock = exchange.connection.sock
+    return sock.fileno() < 0 or has_events(sock, select.POLLRDHUP)
+
+
 class InvokeApi:
     """Handles the exchanges of clients; the request engine's port to clients."""
 
@@ -178,8 +188,12 @@
             self.refusal_counters.record(time.monotonic_ns(), "overloaded", self.capacity.key(tenant))
             exchange.respond(next(self.overloaded_responses))
             return
-        call = requests.parse_call(path, exchange.headers, exchange.body, self.functions)
         preference = requests.parse_preference(exchange.headers.get("prefer", ""))
+        if not preference.deferred and has_closed(exchange):
+            # Nobody waits for the answer. Thousands of such calls would delay those of other clients.
+            self.refusal_counters.record(time.monotonic_ns(), "client-gone", self.capacity.key(tenant))
+            return
+        call = requests.parse_call(path, exchange.headers, exchange.body, self.functions)
         # The request may have been unread since the event loop's last poll. Its client's time ran meanwhile.
         now = time.monotonic_ns()
         unread_time = max(now - exchange.received_since, self.poll_monitor.unread_time(now))
@@ -266,8 +280,8 @@
     # The request engine's port to clients.
 
     def has_unread_disconnect(self, pending: PendingRequest) -> bool:
-        # A client that closed one direction may still read; a close of both is read as soon as it arrives.
-        return False
+        """Whether the client of a call that is not deferred has closed, however much it sent before is unread."""
+        return isinstance(pending.client, Exchange) and has_closed(pending.client)
 
     def on_answered(self, pending: PendingRequest) -> None:
         answer = pending.answer
