Daemon: a request has 128 header fields at most

Cause: heads were bounded in bytes only, and fields of one name are joined as they come, which costs a quadratic time.

Mend: more fields are refused with 431.

--- a/tests/test_invoke.py
+++ b/tests/test_invoke.py
@@ -12,6 +12,7 @@
 from threadshift.interface import MS, SECOND
 from threadshift.invoke.admission import READING_INTERVAL, Admission
 from threadshift.invoke.deferred import ANSWER_OVERHEAD, InMemoryStore
+from threadshift.invoke.http import MAX_HEADER_FIELDS
 
 POST = "POST /v1/functions/f/calls HTTP/1.1\r\nHost: x\r\n"
 
@@ -119,6 +120,14 @@
             self.assertEqual(sock.recv(1), b"")
             sock.close()
 
+    def test_very_many_short_header_fields_are_refused(self):
+        """Guards against heads whose fields, few bytes each, take the processor from all other clients (issue 69)."""
+        for fields, wanted in ((MAX_HEADER_FIELDS - 2, 200), (MAX_HEADER_FIELDS, 431)):
+            head = f"{POST}Content-Length: 1\r\n" + "a: b\r\n" * fields + "\r\nx"
+            with socket.create_connection(("127.0.0.1", self.live.port)) as sock:
+                sock.sendall(head.encode())
+                self.assertEqual(statuses(sock.recv(1000)), [wanted])
+
     def test_continue_is_sent_if_it_is_expected(self):
         with socket.create_connection(("127.0.0.1", self.live.port)) as sock:
             sock.sendall(f"{POST}Expect: 100-continue\r\nContent-Length: 2\r\n\r\n".encode())
--- a/threadshift/invoke/http.py
+++ b/threadshift/invoke/http.py
@@ -36,6 +36,7 @@
 HEADER_OVERHEAD = 256                    # bytes of memory that a header takes beside its name and value
 REQUEST_OVERHEAD = 4_096                 # the same of a request that is being read, with its parser
 MEMORY_RETRY_DELAY = 500 * MS            # for which a client stays away that held the most
+MAX_HEADER_FIELDS = 128                  # of one request; each takes more time and memory than its bytes tell
 UNLIMITED = 1 << 62                      # bytes
 LINGER_TIME = SECOND                     # for which input is read after a refusal, or the client may not see it
 REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
@@ -130,7 +131,7 @@
         self.reset()
 
     def reset(self) -> None:
-        self.url, self.header_size, self.body = b"", 0, bytearray()
+        self.url, self.header_size, self.header_fields, self.body = b"", 0, 0, bytearray()
         self.headers: dict[str, str] = {}
         self.complaint: Problem | None = None
 
@@ -146,6 +147,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.add_header_size(len(name) + len(value))
+        self.header_fields += 1
+        if self.header_fields > MAX_HEADER_FIELDS:
+            raise Problem(431, "headers-too-large", f"there are more than {MAX_HEADER_FIELDS} header fields")
         key, text = name.decode("latin-1").lower(), value.decode("latin-1")
         if key in SINGLE_VALUE_HEADERS and key in self.headers:
             raise Problem(400, "bad-request", f"header {key} is repeated", key)
