Platform: a request that lay unread waits until what has arrived behind it is read

Cause: such a request waited 50 ms at the most for the abort behind it, and with 8 flooding connections the next read comes later. The last request of a read may be whole while its abort is not.

Mend: it waits until as much has been read on its connection as had arrived, and is refused where its time ends before.

--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -255,6 +255,26 @@
             self.assertEqual([frame.id.hex() for frame in it.workers[0].frames_with(INVOKE)], [B])
             client.close()
 
+    def test_abort_far_behind_an_unread_request_stops_its_first_send(self):
+        """Guards against requests sent for clients whose aborts wait behind further input (issue 69)."""
+        with Platform() as it:
+            client = connect_natively(it.address)
+            until(lambda: it.node.listener.connections)
+            connection, = it.node.listener.connections
+            taken = connection.listener.read_turns.join()
+            with taken:                     # as while other clients flood: nothing more of this one is read
+                client.sendall(request(id_=A) + b"".join(
+                    request(number, f"{number:016x}", bytes(1024)) + record(2, number) for number in range(2, 60)
+                ) + record(2, 1))
+                block_process()
+                until(lambda: len(it.node.listener.postponed) == 1)
+                gevent.sleep(0.1)           # longer than such a request once waited at the most
+                self.assertFalse(it.workers[0].frames_with(INVOKE))
+            until(lambda: not connection.open)
+            self.assertFalse(it.workers[0].frames_with(INVOKE))
+            self.assertEqual(it.call(id_=B)[0], 200)
+            client.close()
+
     def test_close_behind_an_unread_request_stops_its_first_send(self):
         with Platform() as it:
             client = connect_natively(it.address)
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -216,7 +216,7 @@
             client = it.client()
             until(lambda: it.node.listener.connections)
             it.node.poll_monitor.unread_time = lambda now: poll_monitor.STALL_THRESHOLD
-            it.node.listener.has_unread_input = self.stopped_after(it.node.listener.has_unread_input)
+            it.node.listener.input_read = self.stopped_after(it.node.listener.input_read)
             self.assert_time_passed_on(it, client)
 
     def test_calls_of_the_daemon(self):
--- a/threadshift/fastcgi/connection.py
+++ b/threadshift/fastcgi/connection.py
@@ -84,6 +84,7 @@
         self.answered = self.closes_when_done = self.ended = False
         self.is_handling_input = False           # what is sent meanwhile is written together, once all is handled
         self.offences = self.dropped = 0
+        self.bytes_read = 0
 
     @property
     def busy(self) -> bool:
@@ -122,6 +123,7 @@
         if not data or self.ended or has_events(self.sock, select.POLLRDHUP):
             return False            # nobody waits for answers on a connection that its client has closed
         self.active = time.monotonic_ns()
+        self.bytes_read += len(data)
         self.age.on_read(began, is_empty=len(data) < READ_SIZE)
         offences = self.offences
         self.handle_input(data)
--- a/threadshift/fastcgi/listener.py
+++ b/threadshift/fastcgi/listener.py
@@ -27,7 +27,7 @@
 from threadshift.invoke.input_age import InputAge
 from threadshift.invoke.poll_monitor import STALL_THRESHOLD, PollMonitor
 from threadshift.invoke.refusal_counters import RefusalCounters
-from threadshift.links.sockets import BACKLOG, accept_connections, has_events
+from threadshift.links.sockets import BACKLOG, accept_connections, has_events, unread_bytes
 from threadshift.links.turns import Turns
 from threadshift.log import exception_fields
 from threadshift.memory_budget import MemoryBudget
@@ -181,9 +181,11 @@
     def is_open(self, request: Request) -> bool:
         return request.connection.open.get(request.id) is request
 
-    def has_unread_input(self, request: Request) -> bool:
-        """Whether input, or the end of the connection, is unread on the connection of an open request."""
-        return self.is_open(request) and has_events(request.connection.sock, select.POLLIN | select.POLLRDHUP)
+    def input_read(self, request: Request) -> int:
+        return request.connection.bytes_read
+
+    def input_arrived(self, request: Request) -> int:
+        return request.connection.bytes_read + unread_bytes(request.connection.sock)
 
     def refuse_late(self, request: Request, parsed: requests.ParsedRequest) -> None:
         self.refuse(request, LATE, parsed.id)
--- a/threadshift/fastcgi/postponed.py
+++ b/threadshift/fastcgi/postponed.py
@@ -2,7 +2,8 @@
 
 A request waits here while the reader of its connection goes on, so that an ABORT or a close that follows it is read:
 
-- after a stall, until everything that arrived during it has been read: its client may have gone;
+- after a stall, or where it lay unread for as long, until all that has arrived behind it on its connection is read:
+  its client may have gone;
 - while an update of the worker list has arrived and is not read yet, however long that takes: the front end counts as
   notified of an update as soon as it has arrived;
 - after the start, until the coordinator has answered: the front end counts as notified of updates that are newer than
@@ -22,7 +23,6 @@
 from threadshift.interface import MS, SECOND
 from threadshift.invoke.poll_monitor import CATCH_UP_TIME
 
-MAX_READ_WAIT = 5 * CATCH_UP_TIME    # until a connection has been read empty; one that is flooded never is
 ANSWER_MARGIN = 20 * MS              # before the end of a request's time, by when it is refused: two reviews
 
 
@@ -32,7 +32,7 @@
     request: Any
     parsed: ParsedRequest
     received_at: int            # the earliest time at which it may have arrived, monotonic ns
-    since: int                  # when it began to wait, monotonic ns
+    read_until: int             # the position of the input that had arrived behind it on its connection, bytes
 
     def expired(self, now: int) -> bool:
         """Tells whether its time is about to end."""
@@ -54,7 +54,8 @@
     front_end: FrontEnd
 
     def is_open(self, request: Any) -> bool: ...
-    def has_unread_input(self, request: Any) -> bool: ...
+    def input_read(self, request: Any) -> int: ...       # bytes of input read on its connection so far
+    def input_arrived(self, request: Any) -> int: ...    # the same with what has arrived and is not read yet
     def admit_postponed(self, request: Any, parsed: ParsedRequest, received_at: int) -> None: ...
     def refuse_late(self, request: Any, parsed: ParsedRequest) -> None: ...
 
@@ -73,7 +74,7 @@
         """Adds a request and starts the reviews with the first one."""
         if not self.waiting:
             self.spawn(self.run)
-        self.waiting.append(Postponed(request, parsed, received_at, time.monotonic_ns()))
+        self.waiting.append(Postponed(request, parsed, received_at, self.owner.input_arrived(request)))
 
     def run(self) -> None:
         """Reviews the waiting requests until there is none."""
@@ -88,14 +89,11 @@
         for each in reviewed:
             if not self.owner.is_open(each.request):
                 continue                    # its client has aborted it
-            must_wait = stale or self.owner.front_end.has_unread_update()
+            must_wait = stale or self.owner.front_end.has_unread_update() or (
+                self.owner.input_read(each.request) < each.read_until)
             if must_wait and each.expired(now):
                 self.owner.refuse_late(each.request, each.parsed)
-            elif must_wait or self.must_wait_for_input(each, now):
+            elif must_wait:
                 self.waiting.append(each)
             else:
                 self.owner.admit_postponed(each.request, each.parsed, each.received_at)
-
-    def must_wait_for_input(self, each: Postponed, now: int) -> bool:
-        """Tells whether input that arrived after the request is still unread on its connection."""
-        return now - each.since < MAX_READ_WAIT and self.owner.has_unread_input(each.request)
--- a/threadshift/links/sockets.py
+++ b/threadshift/links/sockets.py
@@ -1,8 +1,11 @@
 """Sockets over IPv4, IPv6 and Unix paths: listening, connecting, buffered writing."""
 from __future__ import annotations
 
+import fcntl
 import os
 import select
+import sys
+import termios
 import time
 from collections.abc import Callable, Iterator
 from contextlib import suppress
@@ -16,6 +19,7 @@
 from threadshift.links.outbox import Outbox
 
 READ_SIZE = 16 << 10       # bytes a read, some hundred frames; all are handled before the event loop polls again
+INT_SIZE = 4               # bytes of a C int
 BACKLOG = 1024             # connections that the kernel queues until they are accepted
 MAX_ACCEPTS = 16           # connections accepted between two polls of the event loop
 ACCEPT_PAUSE = 100 * MS    # after an accept that failed because no file descriptor was free
@@ -186,6 +190,13 @@
     return bool(poller.poll(0))
 
 
+def unread_bytes(sock: socket.socket) -> int:
+    """How many bytes have arrived on the socket and are not read; 0 where it is closed."""
+    with suppress(OSError, ValueError):
+        return int.from_bytes(fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(INT_SIZE)), sys.byteorder)
+    return 0
+
+
 def time_since_poll() -> int:
     """ns since the event loop last polled its sockets. What is read now was ready then."""
     return max(0, int((time.time() - gevent.get_hub().loop.now()) * SECOND))
