A worker at whose address another one is listed as ready counts as gone

Seen in a play of ours only: a worker is listed as ready at the address of one that has gone and is still listed. What was meant for the old one, believed warm, reached the new one, which was cold, besides its own.

Cause: the list was believed for each worker by itself.

Evidence: the new test of tests.test_races finds both workers ready before.

Mend: the registry sets the earlier worker as gone, on the platform and in the daemon; addresses that several workers share already are left alone. Workers of the emulator and of tests/test_discovery.py have addresses of their own now, as fixtures that shared one are no list that a coordinator gives.

--- a/tests/platform.py
+++ b/tests/platform.py
@@ -54,8 +54,8 @@
 class Worker(Server):
     """A worker whose script is called with each frame that it receives."""
 
-    def __init__(self, script=serve):
-        super().__init__()
+    def __init__(self, script=serve, address=ANY):
+        super().__init__(address)
         self.script, self.received, self.news = script, [], Event()
 
     def converse(self, sock):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -14,7 +14,7 @@
 
 
 def entry(name, state=READY, **facts):
-    return WorkerEntry(name, AT, state, **facts)
+    return WorkerEntry(name, facts.pop("address", Address(name, 1)), state, **facts)
 
 
 def states(listings):
@@ -61,6 +61,21 @@
         self.assertIn("n299", self.it.known)
         self.assertEqual(states(self.it.apply_current(now, WALL + now, [entry("n0")], full=False)), {"n0": READY})
 
+    def test_a_worker_at_whose_address_another_one_is_ready_is_gone(self):
+        """Guards against work for a worker that has gone which reaches the one that came up at its address."""
+        new = entry("c", address=Address("a", 1))
+        self.assertEqual(states(self.it.apply_current(1, WALL, [new], full=False)), {"c": READY, "a": GONE})
+        self.assertEqual(states(self.it.apply_current(2, WALL, [entry("a", GONE)], full=False)), {"a": GONE})
+        self.assertEqual(states(self.it.apply_current(3, WALL, [new], full=False)), {"c": READY})
+        moved = entry("a", address=Address("elsewhere", 1))
+        self.assertEqual(states(self.it.apply_current(4, WALL, [moved], full=False)), {"a": READY})
+
+    def test_workers_that_one_list_names_at_one_address_stay(self):
+        two = [entry(name, address=AT) for name in "de"]
+        self.assertEqual(states(self.it.apply_current(1, WALL, two, full=False)), {"d": READY, "e": READY})
+        self.assertEqual(states(self.it.apply_current(2, WALL, [entry("f", address=AT)], full=False)), {"f": READY})
+        self.assertEqual(states(self.it.apply_current(3, WALL, two[:1], full=False)), {"d": READY})
+
     def test_a_start_time_is_converted_to_the_monotonic_clock_once(self):
         # A step of the wall clock, or one start reported by two clocks, must not look like a restart.
         first = self.it.on_hello(10 * SECOND, WALL, "a", WALL - 3 * SECOND)[0].started_at
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -465,6 +465,33 @@
             it.coordinator.publish(event(3, instance("s-0", it.workers[0].address, "Terminating")))
             until(lambda: not it.node.engine.dispatcher.workers["s-0"].ready)
 
+    def test_nothing_meant_for_a_worker_reaches_the_one_that_came_up_at_its_address(self):
+        """Guards against a new process that is taken for the one that had its address before (issue 69)."""
+        hangs = lambda *_: None     # noqa: E731
+        with Platform(scripts=(hangs, serve)) as it:
+            old = it.workers[0]
+            clients = [it.client() for _ in range(24)]
+            for number, client in enumerate(clients):
+                client.ask(id_=f"{number:016x}", type_="submit", item=f"{number:016x}")
+            until(lambda: old.frames_with(INVOKE))
+            held = {frame.id for frame in old.frames_with(INVOKE)}
+            old.stop()                                  # it dies with what it holds; no list says so yet
+            new = Worker(serve, address=old.address)
+            it.extra.append(new)
+            until(lambda: it.node.links["s-0"].connections)
+            it.coordinator.publish(event(2, instance("s-2", new.address)))      # and the old one is still listed
+            until(lambda: "s-2" in it.node.links)
+            dispatcher = it.node.engine.dispatcher
+            self.assertEqual([dispatcher.workers[name].ready for name in ("s-0", "s-1", "s-2")], [False, True, True])
+            for number in range(100, 120):
+                self.assertEqual(it.call(id_=f"{number:016x}", item=f"{number:016x}")[0], 200)
+            sent = {sock for link in (it.node.links.get("s-0"),) if link for sock in link.connections}
+            self.assertFalse(any(each.in_flight for each in sent))
+            self.assertFalse(held & {frame.id for frame in new.frames_with(INVOKE)})     # they may have run
+            it.coordinator.publish(event(3, instance("s-0", old.address, "Gone")))
+            until(lambda: "s-0" not in it.node.links, seconds=5)
+            self.assertTrue(dispatcher.workers["s-2"].ready)
+
     def test_move_during_a_dial_and_two_moves_at_once(self):
         with Platform() as it:
             others = [Coordinator([event(1, full=True), event(2, instance("s-0", it.workers[0].address, state))])
--- a/threadshift/discovery/registry.py
+++ b/threadshift/discovery/registry.py
@@ -8,6 +8,8 @@
   monotonic clock once, so that a step of the wall clock never looks like a restart.
 - A worker that a full list lacks is gone. One whose entry is in the list and cannot be read stays as it was, unless
   it can be read that it drains or is gone.
+- Where a later list names another worker as ready at the address of a worker, that one is gone, even if no list says
+  so yet: what is sent to it would reach the other. Addresses that several workers share already are left alone.
 - A full list that is empty, while ready workers were listed, is most likely a fault of the roster. It is believed
   half the drain grace after the front end may count as notified of it. It still says that all workers are gone, and
   rule 3 (no new sends once the drain grace after such news is over) counts from the notification.
@@ -98,6 +100,7 @@
     same_start_tolerance: int = SAME_START_TOLERANCE     # ns; 0 where all start times come from one clock
     known: dict[str, KnownWorker] = field(default_factory=dict)
     gone: set[str] = field(default_factory=set)      # the known workers that are gone
+    at_address: dict[Address, set[str]] = field(default_factory=dict)    # the workers that are not gone, by address
     empty_since: int | None = None   # the notification time of an empty list that is not believed yet
     missing: set[str] = field(default_factory=set)   # workers that the empty list lacked and no list named since
 
@@ -118,12 +121,23 @@
         if workers.full:
             self.empty_since = None
         self.missing -= present
+        replaced = self.replaced_by(workers.entries) - present
         changed = [self.update_entry(now, wall, each) for each in workers.entries]
+        changed += [self.set_state(name, WorkerState.GONE) for name in sorted(replaced)]
         changed += [self.set_state(name, state) for name, state in workers.ending.items() if name in self.known]
         if workers.full:
             changed += [self.set_state(name, WorkerState.GONE) for name in sorted(self.not_gone() - present)]
         return changed
 
+    def replaced_by(self, entries: Iterable[WorkerEntry]) -> set[str]:
+        """The workers that are alone at an address at which another one becomes ready by these entries."""
+        replaced: set[str] = set()
+        for entry in entries:
+            present = self.at_address.get(entry.address, set())
+            if entry.state is WorkerState.READY and entry.worker not in present and len(present) == 1:
+                replaced |= present
+        return replaced
+
     def not_gone(self) -> set[str]:
         """The names of known workers that are not gone."""
         return self.known.keys() - self.gone
@@ -131,6 +145,7 @@
     def update_entry(self, now: int, wall: int, entry: WorkerEntry) -> WorkerListing:
         """Takes over a worker's entry."""
         worker = self.known.setdefault(entry.worker, KnownWorker(entry))
+        self.leave_address(entry.worker, worker)
         worker.entry = entry
         self.update_gone(entry.worker, worker)
         self.update_start(worker, now, wall, entry.started)
@@ -144,12 +159,21 @@
         return self.listing(worker)
 
     def update_gone(self, name: str, worker: KnownWorker) -> None:
-        """Adds the worker to `gone` or removes it, by its entry."""
+        """Adds the worker to `gone` or removes it, and the reverse at its address, by its entry."""
         if worker.entry.state is WorkerState.GONE:
             self.gone.add(name)
+            self.leave_address(name, worker)
         else:
             self.gone.discard(name)
             worker.gone_since = 0
+            self.at_address.setdefault(worker.entry.address, set()).add(name)
+
+    def leave_address(self, name: str, worker: KnownWorker) -> None:
+        """Removes the worker from those at its address."""
+        if (present := self.at_address.get(worker.entry.address)) is not None:
+            present.discard(name)
+            if not present:
+                del self.at_address[worker.entry.address]
 
     def update_start(self, worker: KnownWorker, now: int, wall: int, started: int) -> bool:
         """Takes over a start time if it is later than the known one. The first is no restart, but counts for warming.
--- a/threadshift/emulator/run.py
+++ b/threadshift/emulator/run.py
@@ -108,7 +108,7 @@
 
     def make_entry(self, name: str, state: WorkerState = WorkerState.READY) -> WorkerEntry:
         it = self.network.workers[name]
-        return WorkerEntry(name, Address("127.0.0.1", 1), state, self.zones[name], 0, 1.0, it.started)
+        return WorkerEntry(name, Address(name, 1), state, self.zones[name], 0, 1.0, it.started)
 
     def start_front_end(self, n: int) -> None:
         name = f"front-{n}"
