Platform: requests are taken once the read that completed them is handled whole

Cause: a request was taken and sent before the record behind it was looked at. What a flooded connection brings after it was read empty for a moment counts as new, and may have waited with its sender for seconds.

Mend: the requests of one read are passed on when it is handled whole, and wait while further input of their connection has arrived. Health checks do not wait.

--- a/tests/test_drain_grace.py
+++ b/tests/test_drain_grace.py
@@ -27,7 +27,6 @@
 from threadshift.coordinator.freshness import (
     CONNECT_TIMEOUT, MAX_RETRY_PAUSE, NOTIFIED_AFTER_BREAK, NOTIFIED_AFTER_SILENCE, PATIENT_TIMEOUT,
     REPEATED_SILENCE_TIMEOUT, RESPONSE_TIMEOUT, SILENCE_TIMEOUT, Freshness)
-from threadshift.fastcgi.codec import Records
 from threadshift.frames import link
 from threadshift.frames.codec import INVOKE, LOAD
 from threadshift.interface import MS, SECOND, Outcome, WorkerState
@@ -181,8 +180,7 @@
             until(lambda: it.node.listener.connections)
             connection = next(iter(it.node.listener.connections))
             self.drain_unread(it)
-            for kind, number, content in Records().feed(request()):
-                connection.on_record(kind, number, content)
+            connection.handle_input(request())
             self.assertEqual(client.answer()[0], 503)
             self.assert_not_sent(it)
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -26,7 +26,8 @@
 from threadshift.conf.values import Address
 from threadshift.coordinator import freshness
 from threadshift.fastcgi import connection_eviction
-from threadshift.fastcgi.codec import STDIN, record, stream
+from threadshift.fastcgi.codec import ABORT, STDIN, record, stream
+from threadshift.fastcgi.connection import READ_SIZE
 from threadshift.fastcgi.used_ids import UsedIds
 from threadshift.frames import link, pool
 from threadshift.frames.codec import FROM_WORKER, FULL, INVOKE, OK, encode
@@ -255,6 +256,23 @@
             self.assertEqual([frame.id.hex() for frame in it.workers[0].frames_with(INVOKE)], [B])
             client.close()
 
+    def test_abort_in_the_same_read_stops_the_first_send(self):
+        """Guards against a request that is sent although the read that completed it holds its abort (issue 69)."""
+        with Platform() as it:
+            client = it.client()
+            client.send(request(id_=A) + record(ABORT, 1) + request(id_=B))
+            self.assertEqual(client.answer()[0], 200)
+            self.assertEqual([frame.id.hex() for frame in it.workers[0].frames_with(INVOKE)], [B])
+
+    def test_abort_behind_what_one_read_takes_stops_the_first_send(self):
+        with Platform() as it:
+            client = it.client()
+            body = record(STDIN, 2, bytes(2 * READ_SIZE - 4096))
+            client.send(request(id_=A) + begin(2) + params(2, {"SCRIPT_NAME": "/ops/check"}) + body
+                        + record(ABORT, 1) + record(ABORT, 2) + request(id_=B))
+            self.assertEqual(client.answer()[0], 200)
+            self.assertEqual([frame.id.hex() for frame in it.workers[0].frames_with(INVOKE)], [B])
+
     def test_abort_far_behind_an_unread_request_stops_its_first_send(self):
         """Guards against requests sent for clients whose aborts wait behind further input (issue 69)."""
         with Platform() as it:
--- a/threadshift/fastcgi/connection.py
+++ b/threadshift/fastcgi/connection.py
@@ -22,7 +22,7 @@
 from threadshift.invoke.input_age import InputAge
 from threadshift.invoke.refusal_counters import RefusalCounters
 from threadshift.links.checkpoint import Checkpoint
-from threadshift.links.sockets import BufferedSender, has_events
+from threadshift.links.sockets import BufferedSender, has_events, unread_bytes
 from threadshift.links.turns import Turns
 from threadshift.memory_budget import MemoryBudget
 
@@ -46,7 +46,8 @@
     read_turns: Turns         # of the connections whose input keeps coming
     memory_budget: MemoryBudget
 
-    def on_request(self, request: Request, received_since: int) -> None: ...
+    def on_request(self, request: Request, received_since: int, unread_input: int) -> None: ...
+    def on_input_handled(self) -> None: ...
     def log_late(self, progress: Progress, stage: Stage) -> None: ...
     def refuse_half_read(self, request: Request) -> None: ...
 
@@ -79,6 +80,7 @@
         self.accepted = self.active = time.monotonic_ns()
         self.check_due = self.accepted + connection_eviction.FIRST_ANSWER_TIMEOUT
         self.open: dict[int, Request] = {}
+        self.completed: list[Request] = []       # read whole, by the read that is being handled
         self.unwritten: list[Progress] = []      # of requests whose responses wait for the socket
         self.records = Records()
         self.answered = self.closes_when_done = self.ended = False
@@ -144,12 +146,26 @@
         try:
             for kind, id_, content in self.records.feed(data):
                 self.on_record(kind, id_, content)
+            self.pass_completed_on()
+            self.listener.on_input_handled()
         finally:
             self.is_handling_input = False
             if self.outbox.size:
                 self.write()
             self.record_memory()
 
+    def pass_completed_on(self) -> None:
+        """Passes on the requests that the last read completed, but for those that it aborted as well."""
+        completed, self.completed = self.completed, []
+        unread_input = unread_bytes(self.sock) if completed else 0
+        for request in completed:
+            if self.open.get(request.id) is not request:
+                continue
+            try:
+                self.listener.on_request(request, self.age.received_since, unread_input)
+            except InvalidRequest as problem:
+                self.refuse_invalid(request, problem)
+
     def record_memory(self) -> None:
         """Records what is held for this client. May close this connection, or others."""
         self.listener.memory_budget.record(self, self.held_bytes())
@@ -267,7 +283,11 @@
                 raise InvalidRequest(413, f"the body exceeds {MAX_BODY} bytes")
             return
         self.dropped = 0
-        self.listener.on_request(request, self.age.received_since)
+        if request.parameters.get(b"SCRIPT_NAME") == requests.ALIVE_PATH:
+            self.listener.on_request(request, self.age.received_since, unread_input=0)
+            return
+        request.pending = True
+        self.completed.append(request)
 
     def refuse_invalid(self, request: Request, problem: InvalidRequest) -> None:
         """Refuses a request for its content."""
--- a/threadshift/fastcgi/listener.py
+++ b/threadshift/fastcgi/listener.py
@@ -27,7 +27,7 @@
 from threadshift.invoke.input_age import InputAge
 from threadshift.invoke.poll_monitor import STALL_THRESHOLD, PollMonitor
 from threadshift.invoke.refusal_counters import RefusalCounters
-from threadshift.links.sockets import BACKLOG, accept_connections, has_events, unread_bytes
+from threadshift.links.sockets import BACKLOG, accept_connections, has_events
 from threadshift.links.turns import Turns
 from threadshift.log import exception_fields
 from threadshift.memory_budget import MemoryBudget
@@ -139,10 +139,10 @@
         finally:
             self.connections.discard(connection)
 
-    def on_request(self, request: Request, received_since: int) -> None:
+    def on_request(self, request: Request, received_since: int, unread_input: int) -> None:
         """Answers, refuses, postpones or admits a complete request, which may have arrived at `received_since`.
 
-        Raises InvalidRequest."""
+        `unread_input` is the number of bytes that have arrived behind it. Raises InvalidRequest."""
         parameters = request.parameters
         assert parameters is not None
         if parameters.get(b"SCRIPT_NAME") == requests.ALIVE_PATH:
@@ -160,19 +160,24 @@
         unread = max(now - received_since, self.poll_monitor.unread_time(now))
         self.longest_unread = max(self.longest_unread, unread)
         request.progress = Progress(parsed.id, now - unread, now, now - unread + parsed.call.left)
-        if unread < STALL_THRESHOLD and not self.front_end.list_is_stale() and not self.front_end.has_unread_update():
+        after_stall = unread >= STALL_THRESHOLD
+        if not (after_stall or unread_input or self.front_end.list_is_stale() or self.front_end.has_unread_update()):
             self.admit(request, parsed, now - unread)
         elif not self.has_room(request):
             self.refuse(request, FULL, parsed.id)
         else:
-            self.postponed.add(request, parsed, now - unread)
+            self.postponed.add(request, parsed, now - unread, unread_input, after_stall)
+
+    def on_input_handled(self) -> None:
+        """Input of a connection has been read: requests that waited for it may go on."""
+        self.postponed.on_input_handled()
 
     def has_room(self, request: Request) -> bool:
         """Whether one more request may be pending, on this connection."""
         pending = len(self.engine.requests) + len(self.postponed)
         if activation_shares.is_ample(pending, self.max_activations):
             return True
-        own = sum(each.pending is not None for each in request.connection.open.values() if each is not request)
+        own = sum(each.progress is not None for each in request.connection.open.values() if each is not request)
         return activation_shares.may_admit(own, pending, self.max_activations,
                                            sum(bool(each.open) for each in self.connections))
 
@@ -184,9 +189,6 @@
     def input_read(self, request: Request) -> int:
         return request.connection.bytes_read
 
-    def input_arrived(self, request: Request) -> int:
-        return request.connection.bytes_read + unread_bytes(request.connection.sock)
-
     def refuse_late(self, request: Request, parsed: requests.ParsedRequest) -> None:
         self.refuse(request, LATE, parsed.id)
 
--- a/threadshift/fastcgi/postponed.py
+++ b/threadshift/fastcgi/postponed.py
@@ -2,8 +2,8 @@
 
 A request waits here while the reader of its connection goes on, so that an ABORT or a close that follows it is read:
 
-- after a stall, or where it lay unread for as long, until all that has arrived behind it on its connection is read:
-  its client may have gone;
+- until all that had arrived behind it on its connection is read: its client may have gone;
+- after a stall, or where it lay unread for as long, until the event loop has polled several times;
 - while an update of the worker list has arrived and is not read yet, however long that takes: the front end counts as
   notified of an update as soon as it has arrived;
 - after the start, until the coordinator has answered: the front end counts as notified of updates that are newer than
@@ -33,6 +33,7 @@
     parsed: ParsedRequest
     received_at: int            # the earliest time at which it may have arrived, monotonic ns
     read_until: int             # the position of the input that had arrived behind it on its connection, bytes
+    not_before: int             # until when it waits in any case, monotonic ns
 
     def expired(self, now: int) -> bool:
         """Tells whether its time is about to end."""
@@ -55,7 +56,6 @@
 
     def is_open(self, request: Any) -> bool: ...
     def input_read(self, request: Any) -> int: ...       # bytes of input read on its connection so far
-    def input_arrived(self, request: Any) -> int: ...    # the same with what has arrived and is not read yet
     def admit_postponed(self, request: Any, parsed: ParsedRequest, received_at: int) -> None: ...
     def refuse_late(self, request: Any, parsed: ParsedRequest) -> None: ...
 
@@ -66,20 +66,31 @@
     def __init__(self, owner: Owner, spawn: Callable[[Callable[[], None]], Any]):
         self.owner, self.spawn = owner, spawn
         self.waiting: list[Postponed] = []
+        self.is_running = False
 
     def __len__(self) -> int:
         return len(self.waiting)
 
-    def add(self, request: Any, parsed: ParsedRequest, received_at: int) -> None:
-        """Adds a request and starts the reviews with the first one."""
-        if not self.waiting:
+    def add(self, request: Any, parsed: ParsedRequest, received_at: int, unread: int, after_stall: bool) -> None:
+        """Adds a request, with `unread` bytes behind it, and starts the reviews with the first one."""
+        if not self.is_running:
+            self.is_running = True
             self.spawn(self.run)
-        self.waiting.append(Postponed(request, parsed, received_at, self.owner.input_arrived(request)))
+        self.waiting.append(Postponed(request, parsed, received_at, self.owner.input_read(request) + unread,
+                                      time.monotonic_ns() + CATCH_UP_TIME if after_stall else 0))
 
     def run(self) -> None:
         """Reviews the waiting requests until there is none."""
-        while self.waiting:
-            gevent.sleep(CATCH_UP_TIME / SECOND)
+        try:
+            while self.waiting:
+                gevent.sleep(CATCH_UP_TIME / SECOND)
+                self.review(time.monotonic_ns())
+        finally:
+            self.is_running = False
+
+    def on_input_handled(self) -> None:
+        """Reviews the waiting requests, as input of some connection has been read."""
+        if self.waiting:
             self.review(time.monotonic_ns())
 
     def review(self, now: int) -> None:
@@ -90,7 +101,7 @@
             if not self.owner.is_open(each.request):
                 continue                    # its client has aborted it
             must_wait = stale or self.owner.front_end.has_unread_update() or (
-                self.owner.input_read(each.request) < each.read_until)
+                now < each.not_before or self.owner.input_read(each.request) < each.read_until)
             if must_wait and each.expired(now):
                 self.owner.refuse_late(each.request, each.parsed)
             elif must_wait:
