Platform: an answer over 1 MiB reaches its client, or fails alone

Cause: what waits for one client was bounded by 1 MiB, less than the longest answer that is taken from a worker, and a response that did not fit ended the connection.

Mend: the bound is 1 MiB more than the longest answer; a long response that does not fit behind unread ones becomes a 502 to its request alone.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -152,7 +152,8 @@
         for payload in (floods.half_bodies, floods.half_parameters, floods.small_halves, floods.torn_record,
                         floods.unknown_records):
             with self.subTest(payload=payload.__name__):
-                listener = SimpleNamespace(memory_budget=MemoryBudget(1 << 30), on_input_handled=lambda: None)
+                listener = SimpleNamespace(memory_budget=MemoryBudget(1 << 30), on_input_handled=lambda: None,
+                                           longest_answer=0)
                 connection = Connection(None, listener, None)
                 connection.writer = True          # so that nothing is written
                 tracemalloc.start()
--- a/threadshift/fastcgi/connection.py
+++ b/threadshift/fastcgi/connection.py
@@ -28,12 +28,15 @@
 
 READ_SIZE = 16 << 10           # bytes a read: several usual requests, and little memory for each connection
 WRITE_TIMEOUT = 2 * SECOND     # without progress, until a client that reads no responses is disconnected
-MAX_BUFFERED = 1 << 20         # bytes of responses that wait for one client; enough for all its open requests
+MAX_BUFFERED = 1 << 20         # bytes of usual responses that wait for one client; enough for all its open requests
+LONG_RESPONSE = 4 << 10        # bytes, above which a response must leave RESERVED_FOR_SHORT free
+RESERVED_FOR_SHORT = 128 << 10 # bytes of what waits; the short responses to all open requests fit into them
 MAX_OPEN_REQUESTS = 32         # on one connection; the protocol's limit
 MAX_DROPPED = 256 << 10        # bytes of records for requests that have ended, until the connection is closed
 MAX_LOGGED_IDS = 4             # of requests whose connection ended, in one line of the log
 REQUEST_OVERHEAD = 2_048       # bytes that a request being read takes besides its body and its parameters' values
 
+TOO_LONG = requests.text_response(b"502 Bad Gateway", "unread responses leave no room for the answer")
 TOO_MANY_REQUESTS = requests.unavailable_response("too many requests on one connection", 0)
 
 
@@ -42,6 +45,7 @@
 
     refusal_counters: RefusalCounters
     max_connections: Callable[[], int]   # that clients may hold now
+    longest_answer: int                  # of a worker, bytes
     note: Callable[..., None]
     read_turns: Turns         # of the connections whose input keeps coming
     memory_budget: MemoryBudget
@@ -75,7 +79,7 @@
     """One client connection."""
 
     def __init__(self, sock: socket.socket, listener: Listener, age: InputAge):
-        super().__init__(sock, MAX_BUFFERED, WRITE_TIMEOUT)
+        super().__init__(sock, MAX_BUFFERED + listener.longest_answer, WRITE_TIMEOUT)
         self.listener, self.age = listener, age
         self.accepted = self.active = time.monotonic_ns()
         self.check_due = self.accepted + connection_eviction.FIRST_ANSWER_TIMEOUT
@@ -309,7 +313,13 @@
         self.answered = True
         self.active = time.monotonic_ns()
         self.closes_when_done = self.closes_when_done or not request.keep_open
-        self.send(codec.response(request.id, content, status))
+        response = codec.response(request.id, content, status)
+        if len(response) > LONG_RESPONSE and (
+                self.outbox.size + len(response) > self.outbox.max_size - RESERVED_FOR_SHORT):
+            # Only this request fails: with the connection, all other requests on it would be lost.
+            self.listener.note("response-too-long", level="warning", bytes=len(response), waiting=self.outbox.size)
+            response = codec.response(request.id, TOO_LONG)
+        self.send(response)
 
     def send(self, data: bytes) -> None:
         """Sends as much as the socket takes and buffers the rest; disconnects a client that reads too little."""
--- a/threadshift/fastcgi/listener.py
+++ b/threadshift/fastcgi/listener.py
@@ -55,10 +55,12 @@
 
     def __init__(self, max_connections: Callable[[], int], max_activations: int, types: dict[str, NamespaceType],
                  max_retry_after: int, admission: Admission, front_end: FrontEnd, note: Callable[..., None],
-                 chance: Callable[[], float], memory_budget: MemoryBudget, max_used_ids: int):
+                 chance: Callable[[], float], memory_budget: MemoryBudget, max_used_ids: int,
+                 longest_answer: int):
         self.max_connections, self.max_activations, self.types, self.max_retry_after = (
             max_connections, max_activations, types, max_retry_after)
         self.admission, self.front_end, self.note, self.chance = admission, front_end, note, chance
+        self.longest_answer = longest_answer
         self.memory_budget, self.used_ids = memory_budget, UsedIds(max_used_ids)
         self.poll_monitor, self.refusal_counters = PollMonitor(), RefusalCounters()
         self.connections: set[Connection] = set()
--- a/threadshift/node/front.py
+++ b/threadshift/node/front.py
@@ -62,7 +62,7 @@
         self.listener = FastCgiListener(
             lambda: self.descriptors.client_limit(self.worker_connections), config.max_activations, types,
             config.deployment.max_retry_after, self.admission, self, self.note, self.chance,
-            MemoryBudget(config.client_bytes), config.max_used_ids)
+            MemoryBudget(config.client_bytes), config.max_used_ids, config.longest_answer)
         self.poll_monitor, self.worker_budget = self.listener.poll_monitor, MemoryBudget(config.worker_bytes)
         dispatcher = Dispatcher(rng.getrandbits(63), config.deployment, now)
         dispatcher.load_ration.assume_predecessor(now)
--- a/threadshift/node/front_end_config.py
+++ b/threadshift/node/front_end_config.py
@@ -59,6 +59,11 @@
         """How many ids of ended requests that must not run twice are remembered."""
         return self.memory_bytes // USED_IDS_DIVISOR // ID_SIZE
 
+    @property
+    def longest_answer(self) -> int:
+        """The most bytes that the answer of a worker may have."""
+        return self.memory_bytes // BODY_DIVISOR
+
     @property
     def worker_bytes(self) -> int:
         """The most that is held of the answers of all workers that have not arrived whole."""
@@ -69,7 +74,7 @@
         return LinkSettings(self.connect_timeout, WRITE_TIMEOUT, self.idle_timeout, self.streams_per_connection,
                             pool.connections_per_worker(self.max_sockets, workers),
                             pool.choose_dial_threshold(self.deployment.front_ends),
-                            self.memory_bytes // BUFFER_DIVISOR + 2 * MAX_BODY, self.memory_bytes // BODY_DIVISOR)
+                            self.memory_bytes // BUFFER_DIVISOR + 2 * MAX_BODY, self.longest_answer)
 
 
 def read_config(environment: Mapping[str, str]) -> FrontEndConfig:
