Batches: a call that goes out again while its first departure is stored is sent once

Cause: that a call goes out is stored before the engine gets it. Where the cancel and the restore were applied again meanwhile, the call went out a second time, and both departures found it out when the writes were done.

Evidence: by reading, and tests.test_batches.Departures, which holds the store's answer back: two calls at the engine before.

Mend: each departure has a number; one that is not the latest is dropped.

--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -351,6 +351,37 @@
                 self.assertTrue(is_known_after_a_crash)
 
 
+class Departures(unittest.TestCase):
+    def test_a_call_that_goes_out_again_before_its_first_departure_is_stored_is_sent_once(self):
+        """Guards against a call that is sent twice if its batch is cancelled and restored meanwhile (review/6)."""
+        with tempfile.TemporaryDirectory() as folder:
+            it = Live(1, extra=peers(folder))
+            with it, closing(it.client()) as client:
+                until(lambda: it.front.replicated_services
+                      and it.front.replicated_services.consensus.status()["holds"], 10)
+                batch_service = it.front.replicated_services.batch_service
+                delayed, persist = [], batch_service.persist
+
+                def delay_departures(records, then):
+                    if records and records[0]["do"] == "out":
+                        delayed.append(then)
+                    else:
+                        persist(records, then)
+                batch_service.persist = delay_departures
+                client.request("POST", "/v1/functions/submit-a/calls", {
+                    "Prefer": "respond-async", "Batch": "eve"}, b"x")
+                until(lambda: len(delayed) == 1)
+                tenant = next(iter(batch_service.calls.values()))[0].tenant
+                for state in (OPEN, RESTORED):
+                    batch_service.on_cancels_changed([cancel(state=state, tenant=tenant)])
+                until(lambda: len(delayed) == 2)
+                for then in delayed:
+                    then(True)
+                until(lambda: it.front.engine.counts["answered completed"])
+                self.assertEqual((it.front.engine.counts["taken"], it.front.engine.counts["sends"]), (1, 1))
+                self.assertEqual(it.front.api.capacity.used, 0)
+
+
 class Answers(unittest.TestCase):
     def test_answer_is_not_given_out_before_it_is_stored(self):
         # Guards against an answer given out but not stored: after a crash the same call was reported as aborted.
--- a/threadshift/batches/queue.py
+++ b/threadshift/batches/queue.py
@@ -53,6 +53,7 @@
     not_before: int = 0          # it does not go out again before this time
     parked_by: str = ""          # id of the cancel that stopped it
     is_out: bool = False
+    departures: int = 0          # how often it went out
     is_done: bool = False
     reasons: list[str] = field(default_factory=list)     # why its tries were rejected
     may_have_run: bool = False   # in one of its tries, although that was rejected
@@ -160,6 +161,7 @@
             if call.deadline - now <= MIN_TIME_LEFT:
                 continue            # expire() ends it shortly
             call.is_out, self.out_count = True, self.out_count + 1
+            call.departures += 1
             yield call
 
     def on_returned(self, call: BatchCall, now: int, completed: bool, may_retry: bool, reason: str,
--- a/threadshift/gateway/batch_service.py
+++ b/threadshift/gateway/batch_service.py
@@ -180,25 +180,31 @@
             self.finish(entry, self.refusal(entry, "cancelled" if entry.parked_by else "time-up"))
         if not self.front.api.closing and (
                 self.consensus.member.staleness(clock()) is not None or now - self.started_at >= RECORD_WAIT):
-            out = []
+            out: list[tuple[BatchCall, int]] = []
             for entry in self.queue.take_ready(now):
                 if not self.front.api.capacity.has_room(entry.tenant):
                     self.queue.withdraw(entry)
                     break
                 self.front.api.capacity.acquire(entry.tenant)
-                out.append(entry)
+                out.append((entry, entry.departures))
             if out:
-                self.persist([make_record("out", ivk=each.id) for each in out],
+                self.persist([make_record("out", ivk=entry.id) for entry, _ in out],
                              lambda is_stored: self.dispatch(out, is_stored))
         if now - self.swept_at >= SWEEP_INTERVAL:
             self.swept_at = now
             self.forget_old_answers()
 
-    def dispatch(self, out: list[BatchCall], is_stored: bool) -> None:
-        """Passes calls to the engine, except those that a cancel withdrew meanwhile."""
+    def dispatch(self, out: list[tuple[BatchCall, int]], is_stored: bool) -> None:
+        """Passes calls to the engine, each with the number of its departure.
+
+        Left out are those that a cancel withdrew meanwhile, also where they have gone out again since: their later
+        departure is passed on by itself."""
         self.front.read_updates()
         now = time.monotonic_ns()
-        for entry in out:
+        for entry, departure in out:
+            if entry.is_out and entry.departures != departure:
+                self.front.api.capacity.release(entry.tenant)
+                continue
             if entry.is_done or not entry.is_out or not is_stored:
                 self.front.api.capacity.release(entry.tenant)
                 if not entry.is_done:
