--- a/threadshift/fastcgi/connection.py
+++ b/threadshift/fastcgi/connection.py
@@ -47,7 +47,7 @@
     max_connections: Callable[[], int]   # that clients may hold now
     longest_answer: int                  # of a worker, bytes
     note: Callable[..., None]
-    read_turns: Turns         # of the connections whose input keeps coming
+    read_turns: Turns                    # of the connections whose input keeps coming
     memory_budget: MemoryBudget
 
     def on_request(self, request: Request, received_since: int, unread_input: int) -> None: ...
@@ -200,6 +200,7 @@
     def abandon_all(self) -> None:
         """Ends all open requests without a response: the client is gone, or is about to be disconnected."""
         abandoned, self.open = list(self.open.values()), {}
+        self.completed.clear()
         if ids := [request.pending.id for request in abandoned if isinstance(request.pending, PendingRequest)]:
             self.listener.note("client-gone", requests=len(ids), ids=ids[:MAX_LOGGED_IDS])
         for request in abandoned:
--- a/threadshift/fastcgi/postponed.py
+++ b/threadshift/fastcgi/postponed.py
@@ -100,8 +100,8 @@
         for each in reviewed:
             if not self.owner.is_open(each.request):
                 continue                    # its client has aborted it
-            must_wait = stale or self.owner.front_end.has_unread_update() or (
-                now < each.not_before or self.owner.input_read(each.request) < each.read_until)
+            must_wait = (now < each.not_before or self.owner.input_read(each.request) < each.read_until
+                         or stale or self.owner.front_end.has_unread_update())
             if must_wait and each.expired(now):
                 self.owner.refuse_late(each.request, each.parsed)
             elif must_wait:
--- a/threadshift/load_ration.py
+++ b/threadshift/load_ration.py
@@ -21,7 +21,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Admission:
+class CountedActivation:
     """An activation that counts towards load orders until its client withdraws it."""
 
     at: int                  # ns
@@ -45,7 +45,7 @@
         """`window` is in ns, 0 for no limit; `ratio` is the number of orders that one activation brings."""
         self.window, self.free, self.ratio = window, free, ratio
         self.burst = max(MIN_BURST, free)
-        self.admissions: deque[Admission] = deque()     # within the window
+        self.admissions: deque[CountedActivation] = deque()     # within the window
         self.orders: deque[LoadOrder] = deque()         # within the window
         self.admitted = 0              # admissions of this process
         self.counted = 0               # of these, those that count
@@ -64,19 +64,19 @@
         """Allows no further orders: a process that takes over may count on it."""
         self.is_stopped = True
 
-    def record_admission(self, now: int) -> Admission:
+    def record_admission(self, now: int) -> CountedActivation:
         """Records an activation that is admitted."""
         self.admitted += 1
         self.counted += 1
         self.counted_in_window += 1
-        admission = Admission(now, self.admitted)
+        admission = CountedActivation(now, self.admitted)
         self.admissions.append(admission)
         if self.predecessor_ended_at is not None and now < self.predecessor_ended_at:
             self.counted_beside_predecessor = self.counted
         self.expire(now)
         return admission
 
-    def withdraw(self, admission: Admission) -> None:
+    def withdraw(self, admission: CountedActivation) -> None:
         """Records that the client of an activation has withdrawn it: it brings no orders any more."""
         if not admission.counts:
             return
