Daemon: header fields of one name are joined once, in place of a limit on fields

Cause: fields of one name were joined as each came, in a quadratic time.

Each field counts in what a connection holds.

--- a/threadshift/invoke/http.py
+++ b/threadshift/invoke/http.py
@@ -36,7 +36,6 @@
 HEADER_OVERHEAD = 256                    # bytes of memory that a header takes beside its name and value
 REQUEST_OVERHEAD = 4_096                 # the same of a request that is being read, with its parser
 MEMORY_RETRY_DELAY = 500 * MS            # for which a client stays away that held the most
-MAX_HEADER_FIELDS = 128                  # of one request; each takes more time and memory than its bytes tell
 UNLIMITED = 1 << 62                      # bytes
 LINGER_TIME = SECOND                     # for which input is read after a refusal, or the client may not see it
 REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
@@ -131,7 +130,9 @@
         self.reset()
 
     def reset(self) -> None:
-        self.url, self.header_size, self.header_fields, self.body = b"", 0, 0, bytearray()
+        self.url, self.header_size, self.body = b"", 0, bytearray()
+        self.header_fields = 0
+        self.repeated: dict[str, list[str]] = {}     # the values of header fields that came more than once
         self.headers: dict[str, str] = {}
         self.complaint: Problem | None = None
 
@@ -148,12 +149,14 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self.add_header_size(len(name) + len(value))
         self.header_fields += 1
-        if self.header_fields > MAX_HEADER_FIELDS:
-            raise Problem(431, "headers-too-large", f"there are more than {MAX_HEADER_FIELDS} header fields")
         key, text = name.decode("latin-1").lower(), value.decode("latin-1")
         if key in SINGLE_VALUE_HEADERS and key in self.headers:
             raise Problem(400, "bad-request", f"header {key} is repeated", key)
-        self.headers[key] = f"{self.headers[key]}, {text}" if key in self.headers else text
+        if key in self.headers:
+            # They are joined once: to join each as it comes takes a time quadratic in their number.
+            self.repeated.setdefault(key, [self.headers[key]]).append(text)
+        else:
+            self.headers[key] = text
 
     def add_header_size(self, count: int) -> None:
         self.header_size += count
@@ -162,6 +165,9 @@
                           f"request line and headers are larger than {self.bounds.headers} bytes")
 
     def on_headers_complete(self) -> None:
+        for key, values in self.repeated.items():
+            self.headers[key] = ", ".join(values)
+        self.repeated.clear()
         length = self.headers.get("content-length", "")
         if length.isdigit() and int(length) > self.bounds.body:
             raise Problem(413, "body-too-large", f"the limit is {self.bounds.body} bytes", "Content-Length")
@@ -293,7 +299,7 @@
         """What is held for this client: a request that is being read, and answers that are not written."""
         half_read = 0
         if self.request_started and not self.gave_way:
-            half_read = REQUEST_OVERHEAD + self.header_size + HEADER_OVERHEAD * len(self.headers) + len(self.body)
+            half_read = REQUEST_OVERHEAD + self.header_size + HEADER_OVERHEAD * self.header_fields + len(self.body)
         return half_read + self.being_written + sum(
             len(each.response.body) + len(each.response.serialized)
             for each in self.exchanges if each.response is not None)
